--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -33,6 +33,7 @@
 type line struct {
 	Demo       *demoVerb       `arg:"subcommand:demo" help:"serve a few calls on embedded stand-ins and show what happened"`
 	Serve      *serveVerb      `arg:"subcommand:serve" help:"run one daemon"`
+	Gateway    *gatewayVerb    `arg:"subcommand:gateway" help:"run one gateway daemon on the operators' platform"`
 	Stand      *standVerb      `arg:"subcommand:stand" help:"run stand-ins of the platform, engines and services"`
 	Ask        *askVerb        `arg:"subcommand:ask" help:"write a commented questionnaire"`
 	Make       *makeVerb       `arg:"subcommand:make" help:"generate the configuration from a filled-in questionnaire"`
--- /dev/null
+++ b/internal/gateway/execute.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/gateway"
+	"github.com/azurepond/azurepond/pkg/object"
+	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/replica"
+)
+
+// The timeouts of calls to engines that are not requests.
+const (
+	lookTimeout  = 250 * time.Millisecond // a hundred round trips; two lost looks are a death
+	orderTimeout = 500 * time.Millisecond
+)
+
+// execute carries out one effect; what takes time runs beside the reducer and comes back as an event.
+func (d *Daemon) execute(effect gateway.Effect) {
+	switch effect := effect.(type) {
+	case gateway.Store:
+		go d.store(effect)
+	case gateway.Decode:
+		d.decode(effect.Document())
+	case gateway.Advertise:
+		addresses := effect.Addresses()
+		d.addresses.Store(&addresses)
+		d.log.Line("peer", "addresses", "count", len(addresses))
+	case gateway.Ready:
+		d.ready.Store(effect.Ready())
+		d.log.Line("daemon", "ready", "ready", effect.Ready(), "reason", effect.Reason())
+	case gateway.Refusing:
+		close(d.refuse)
+	case gateway.Stopped:
+		close(d.stopped)
+	case gateway.Led:
+		d.log.Line("replica", "leader", "leader", effect.Leader(), "self", effect.Leads())
+	case gateway.ToPeer:
+		d.toPeer(effect.Effect())
+	case gateway.ToReplica:
+		d.toReplica(effect.Effect())
+	case gateway.ToDispatch:
+		d.toDispatch(effect.Effect())
+	}
+}
+
+// store makes one call to the object API.
+func (d *Daemon) store(effect gateway.Store) {
+	deliver := func(result object.Result) { d.feed(gateway.NewResulted(effect.Part(), result)) }
+	if watch, isWatch := effect.Request().(object.Watch); isWatch {
+		d.adapter.Store.Watch(d.work, watch, deliver)
+		return
+	}
+	result := d.adapter.Store.Do(d.work, effect.Request())
+	d.recorder.Stored(effect.Request(), result)
+	deliver(result)
+}
+
+// decode reads a configuration; one that can't be read leaves the one before in force.
+func (d *Daemon) decode(document peer.Document) {
+	config, err := d.adapter.Store.Config(document.Data())
+	if err != nil {
+		d.log.Line("config", "unreadable", "revision", document.Revision(), "err", err.Error())
+		return
+	}
+	d.config.Store(&config)
+	d.log.Line("config", "in force", "revision", config.Revision())
+	go d.feed(gateway.NewDecoded(config))
+}
+
+func (d *Daemon) toPeer(effect peer.Effect) {
+	switch effect := effect.(type) {
+	case peer.Send:
+		d.hub.Send(effect.Name(), effect.Address(), effect.Message())
+	case peer.Reset:
+		d.log.Line("peer", "stood still")
+		go d.hub.Reset()
+	}
+}
+
+func (d *Daemon) toReplica(effect replica.Effect) {
+	switch effect := effect.(type) {
+	case replica.Order:
+		go d.order(effect)
+	case replica.Look:
+		go d.look(effect)
+	case replica.Decided:
+		d.log.Line("replica", effect.What(), "replica", effect.Replica(), "model", effect.Model(),
+			"epoch", effect.Epoch(), "members", effect.Members(), "reason", effect.Reason())
+	}
+}
+
+func (d *Daemon) order(order replica.Order) {
+	ctx, cancel := context.WithTimeout(d.work, orderTimeout)
+	defer cancel()
+	reply := d.adapter.Engines.Order(ctx, order)
+	d.recorder.Ordered(order.Verb().String(), reply.String())
+	d.log.Line("replica", "order", "verb", order.Verb(), "instance", order.ID(), "replica", order.Replica(),
+		"epoch", order.Epoch(), "token", order.Token(), "reply", reply)
+	d.feed(gateway.NewFromReplica(replica.NewOrdered(order, reply)))
+}
+
+func (d *Daemon) look(look replica.Look) {
+	ctx, cancel := context.WithTimeout(d.work, lookTimeout)
+	defer cancel()
+	seen, err := d.adapter.Engines.Look(ctx, look.ID(), look.Address())
+	if err != nil {
+		d.recorder.Looked("missed")
+		d.log.Line("replica", "look missed", "instance", look.ID(), "err", err.Error())
+		d.feed(gateway.NewFromReplica(replica.NewMissed(look.ID())))
+		return
+	}
+	d.recorder.Looked("answered")
+	d.feed(gateway.NewFromReplica(replica.NewLooked(seen)))
+}
+
+func (d *Daemon) toDispatch(effect dispatch.Effect) {
+	switch effect := effect.(type) {
+	case dispatch.Cancel:
+		d.cut(effect.Attempt())
+	case dispatch.Note:
+		d.note(effect)
+	case dispatch.Send:
+		d.hand(effect.ID(), effect)
+	case dispatch.Refuse:
+		d.hand(effect.ID(), effect)
+	case dispatch.Fail:
+		d.hand(effect.ID(), effect)
+	case dispatch.Deliver:
+		d.hand(effect.ID(), effect)
+	case dispatch.Drop:
+		d.hand(effect.ID(), effect)
+	}
+}
+
+// hand passes an effect to the goroutine that serves the request.
+func (d *Daemon) hand(id dispatch.ID, effect dispatch.Effect) {
+	d.mutex.Lock()
+	call := d.calls[id]
+	d.mutex.Unlock()
+	if call != nil {
+		call.effects <- effect
+	}
+}
+
+// cut ends an attempt.
+func (d *Daemon) cut(attempt dispatch.Attempt) {
+	d.mutex.Lock()
+	cancel := d.attempts[attempt]
+	d.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/gateway/note.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	named "github.com/azurepond/azurepond/internal/metrics"
+	"github.com/azurepond/azurepond/pkg/dispatch"
+)
+
+// note logs and counts a decision on a request.
+func (d *Daemon) note(n dispatch.Note) {
+	in := n.Inputs()
+	d.log.Line("dispatch", n.What(), "id", n.Name(), "route", n.Route(), "upstream", n.Upstream(), "reason", n.Reason(),
+		"after", n.After(), "upstreams", in.Upstreams(), "calls", in.Calls(), "expected", in.Expected(),
+		"waiting", in.Waiting(), "age", in.Age())
+	d.recorder.Decided(n.Route(), n.What(), n.Reason())
+	switch n.What() {
+	case "sent":
+		d.recorder.Sent(n.Route(), n.After())
+	case "answered":
+		d.recorder.Answered(n.Route(), n.After())
+	}
+}
+
+// metricsHandler serves the metrics in text form.
+func metricsHandler(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		if err := named.WriteText(w, registry, nil); err != nil {
+			klog.InfoS("metrics: not written", "err", err.Error())
+		}
+	})
+}
--- /dev/null
+++ b/internal/metrics/gateway.go
@@ -0,0 +1,62 @@
+package metrics
+
+import "time"
+
+// The metrics of a gateway daemon.
+var (
+	Requests = Metric{
+		"azurepond_requests_total",
+		[]string{"route", "outcome", "reason"},
+		"requests", "Decisions on requests, by route, what was decided and why.",
+	}
+	Answer = Metric{
+		"azurepond_request_seconds",
+		[]string{"route"},
+		"seconds", "Time from a request's arrival to the end of its answer.",
+	}
+	QueueWait = Metric{
+		"azurepond_request_sent_seconds",
+		[]string{"route"},
+		"seconds", "Time from a request's arrival to its first send.",
+	}
+	Orders = Metric{
+		"azurepond_orders_total",
+		[]string{"verb", "reply"},
+		"orders", "Orders to engines, by what was asked for and how they were answered.",
+	}
+	Looks = Metric{
+		"azurepond_looks_total",
+		[]string{"result"},
+		"looks", "Looks at engines that may be dead.",
+	}
+	Connections = Metric{
+		"azurepond_upstream_connections_total",
+		nil,
+		"connections", "Connections to upstreams that were opened.",
+	}
+	LinesDropped = Metric{
+		"azurepond_log_lines_dropped",
+		nil,
+		"lines", "Lines of the log that were dropped since nobody read them.",
+	}
+	Leading = Metric{
+		"azurepond_leading",
+		nil,
+		"boolean", "Whether this daemon forms the replicas.",
+	}
+)
+
+// Decided counts a decision on a request of route.
+func (r *Recorder) Decided(route, what, reason string) { r.add(Requests.Key(route, what, reason)) }
+
+// Sent takes over how long a request waited for its first send.
+func (r *Recorder) Sent(route string, after time.Duration) { r.time(QueueWait.Key(route), after) }
+
+// Answered takes over how long a request took until the end of its answer.
+func (r *Recorder) Answered(route string, after time.Duration) { r.time(Answer.Key(route), after) }
+
+// Ordered counts an order to an engine.
+func (r *Recorder) Ordered(verb, reply string) { r.add(Orders.Key(verb, reply)) }
+
+// Looked counts a look at an engine.
+func (r *Recorder) Looked(result string) { r.add(Looks.Key(result)) }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,7 +12,6 @@
 
 const (
 	dialTimeout       = 2 * time.Second
-	keepAlive         = 15 * time.Second
 	idleTimeout       = 60 * time.Second
 	idlePerHost       = 64
 	maxResponseHeader = 64 << 10
@@ -20,7 +19,7 @@
 
 // New returns a transport that reuses connections and follows no proxy of the environment.
 func New() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	dialer := Dialer(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- /dev/null
+++ b/pkg/dispatch/burst.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// rate is how many calls of one kind begin to be answered in a second, over the last seconds.
+type rate struct {
+	at    time.Time
+	value float64
+}
+
+// rateMemory is the time over which the rate is averaged; calls last about two seconds.
+const rateMemory = 2 * time.Second
+
+func (r *rate) add(now time.Time) {
+	r.value = r.per(now) + 1/rateMemory.Seconds()
+	r.at = now
+}
+
+func (r *rate) per(now time.Time) float64 {
+	gone := now.Sub(r.at)
+	if r.at.IsZero() || gone >= 2*rateMemory {
+		return 0
+	}
+	return r.value * (1 - gone.Seconds()/(2*rateMemory.Seconds()))
+}
+
+func (c *call) kind() string { return c.service + "/" + c.model }
+
+func (s *State) rate(kind string) *rate {
+	r := s.rates[kind]
+	if r == nil {
+		r = &rate{}
+		s.rates[kind] = r
+	}
+	return r
+}
+
+func (s *State) served(now time.Time, c *call) { s.rate(c.kind()).add(now) }
+
+// The bounds of waiting here.
+const (
+	waitOfGoal = 0.6  // of the goal; the rest is for the first event itself
+	waitOfTime = 0.25 // of the time that the caller waits, for calls that can only be late
+	againOfWay = 0.25 // of the time that is left, the most that a caller is told to stay away
+	minAgain   = 100 * time.Millisecond
+)
+
+// wait queues a call that no upstream has room for, if it can be served in time.
+func (s *State) wait(now time.Time, c *call, others int) {
+	expected := s.expectedWait(now, c)
+	if now.Add(expected).After(s.patienceOf(c)) {
+		s.giveUp(now, c, Overload, s.again(now, c))
+		return
+	}
+	if c.queued.IsZero() {
+		c.queued = now
+	}
+	s.queue = append(s.queue, c)
+	s.note(now, c, "queued", "", "", Inputs{heads: others, best: expected, waiting: len(s.queue)})
+}
+
+// expectedWait returns how long a call would wait behind those that are ahead of it, at the rate at which calls of its
+// kind began to be answered lately.
+func (s *State) expectedWait(now time.Time, c *call) time.Duration {
+	ahead := 0
+	for _, other := range s.queue {
+		if other.kind() == c.kind() {
+			ahead++
+		}
+	}
+	per := s.rate(c.kind()).per(now)
+	if per <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / per * float64(time.Second))
+}
+
+// patienceOf returns until when a call may wait here.
+func (s *State) patienceOf(c *call) time.Time {
+	limit := time.Duration(waitOfGoal * float64(c.route.Goal()))
+	late := time.Duration(waitOfTime * float64(c.ends.Sub(c.arrived)))
+	if c.started {
+		late = c.ends.Sub(c.arrived)
+	}
+	return c.arrived.Add(max(limit, late))
+}
+
+func (s *State) unqueue(c *call) {
+	if i := slices.Index(s.queue, c); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+}
+
+// serveQueue sends the calls that wait while there is room, the most urgent first, and refuses those that waited for
+// too long.
+func (s *State) serveQueue(now time.Time, up Upstreams) {
+	if len(s.queue) == 0 {
+		return
+	}
+	waiting := slices.Clone(s.queue)
+	slices.SortStableFunc(waiting, func(a, b *call) int {
+		if a.started != b.started {
+			if a.started {
+				return -1
+			}
+			return 1
+		}
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		return a.arrived.Compare(b.arrived)
+	})
+	full := map[string]bool{}
+	for _, c := range waiting {
+		if !full[c.kind()] {
+			best, others, isFound := s.choose(now, up, c)
+			if isFound {
+				s.unqueue(c)
+				s.send(now, c, best, others)
+				continue
+			}
+			full[c.kind()] = len(c.tried) == 0
+		}
+		if now.After(s.patienceOf(c)) {
+			s.unqueue(c)
+			s.giveUp(now, c, Overload, s.again(now, c))
+		}
+	}
+}
+
+// again returns when a refused caller should come back: when those that wait now have been served, spread so that
+// refused callers don't return together.
+func (s *State) again(now time.Time, c *call) time.Duration {
+	most := time.Duration(againOfWay * float64(c.ends.Sub(now)))
+	wait := max(s.expectedWait(now, c), minAgain)
+	wait += time.Duration(s.random.Float64() * float64(wait))
+	return max(min(wait, most), 0)
+}
--- /dev/null
+++ b/pkg/dispatch/call.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// ID names one request within one daemon.
+type ID uint64
+
+// Attempt names one try of a request at one upstream, unique within one daemon.
+type Attempt uint64
+
+// Request is what a caller sent.
+type Request struct {
+	id       ID
+	name     string
+	host     string
+	path     string
+	key      string
+	model    string
+	prompt   int
+	output   int
+	patience time.Duration
+	content  uint64
+	resume   string
+	arrived  time.Time
+}
+
+// NewRequest returns the request that the caller calls name, for a path of a host; it carries an API key, empty for none.
+func NewRequest(id ID, name, host, path, key string) Request {
+	return Request{id: id, name: name, host: host, path: path, key: key}
+}
+
+// WithModel returns the request as one for a model, with the tokens of its prompt and the most that it may write.
+func (r Request) WithModel(model string, prompt, output int) Request {
+	r.model, r.prompt, r.output = model, prompt, output
+	return r
+}
+
+// WithPatience returns the request with the time that its caller waits, 0 if that is not known.
+func (r Request) WithPatience(patience time.Duration) Request {
+	r.patience = patience
+	return r
+}
+
+// WithContent returns the request with a hash of what it asks for, by which copies of it are known.
+func (r Request) WithContent(hash uint64) Request {
+	r.content = hash
+	return r
+}
+
+// WithResume returns the request with the id of the last event that the caller has, empty for none.
+func (r Request) WithResume(last string) Request {
+	r.resume = last
+	return r
+}
+
+// ID returns the name of the request within this daemon.
+func (r Request) ID() ID { return r.id }
+
+// Name returns the name that the caller gave the request.
+func (r Request) Name() string { return r.name }
+
+// call is a request that has not ended.
+type call struct {
+	Request
+	route        route.Route
+	service      string
+	organisation string
+	priority     int
+	ends         time.Time // after which nobody waits for an answer
+
+	attempt  *attempt // that runs now
+	sends    int
+	runs     int // attempts that may have run
+	tried    []string
+	started  bool   // the caller has the beginning of an answer
+	last     string // id of the last event that the caller has
+	queued   time.Time
+	halted   verdict // what to answer once the attempt has ended, nil while it may go on
+	held     bool    // the last attempt holds an upstream's answer that can be passed on
+	failure  Failure // how the last attempt failed
+	returned bool    // counts against the retry budget from now on
+}
+
+type verdict = Effect
+
+// attempt is a try that has not ended.
+type attempt struct {
+	id      Attempt
+	call    *call
+	own     *upstream
+	at      time.Time
+	started bool
+	silent  bool
+	cut     bool
+}
--- /dev/null
+++ b/pkg/dispatch/effect.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// Effect is what a driver has to do: Send, Cancel, Refuse, Fail, Deliver, Drop, Suspect or Note.
+type Effect interface{ isEffect() }
+
+// Send runs a request at an upstream.
+type Send struct {
+	attempt      Attempt
+	id           ID
+	upstream     string
+	address      string
+	organisation string
+	priority     int
+	left         time.Duration
+	last         string
+	kind         route.Kind
+	silence      time.Duration
+}
+
+// Attempt returns the name of the try, which its reports carry.
+func (s Send) Attempt() Attempt { return s.attempt }
+
+// ID returns the request.
+func (s Send) ID() ID { return s.id }
+
+// Upstream returns the upstream that runs it.
+func (s Send) Upstream() string { return s.upstream }
+
+// Address returns where the upstream listens, as host:port.
+func (s Send) Address() string { return s.address }
+
+// Organisation returns the organisation whose caller it is, empty on a public route.
+func (s Send) Organisation() string { return s.organisation }
+
+// Priority returns the priority of the request, 0 for the most urgent.
+func (s Send) Priority() int { return s.priority }
+
+// Left returns the time in which the answer is due.
+func (s Send) Left() time.Duration { return s.left }
+
+// Last returns the id of the last event that the caller has, empty to begin from the start.
+func (s Send) Last() string { return s.last }
+
+// Kind returns what may be repeated.
+func (s Send) Kind() route.Kind { return s.kind }
+
+// Silence returns the pause after which Silenced is to be reported.
+func (s Send) Silence() time.Duration { return s.silence }
+
+// Cancel ends an attempt; Failed or Ended follows.
+type Cancel struct{ attempt Attempt }
+
+// Attempt returns the try to end.
+func (c Cancel) Attempt() Attempt { return c.attempt }
+
+// Refuse tells the caller that the request did not run and never will.
+type Refuse struct {
+	id     ID
+	reason Reason
+	again  time.Duration
+}
+
+// ID returns the request.
+func (r Refuse) ID() ID { return r.id }
+
+// Reason returns why.
+func (r Refuse) Reason() Reason { return r.reason }
+
+// Again returns when to come back, 0 if that does not help.
+func (r Refuse) Again() time.Duration { return r.again }
+
+// Fail tells the caller that there is no answer, and promises nothing; an answer that has begun is broken off.
+type Fail struct {
+	id      ID
+	reason  Reason
+	expired bool
+}
+
+// ID returns the request.
+func (f Fail) ID() ID { return f.id }
+
+// Reason returns why.
+func (f Fail) Reason() Reason { return f.reason }
+
+// Expired reports whether the time for an answer ran out.
+func (f Fail) Expired() bool { return f.expired }
+
+// Deliver passes on the failure that the last attempt's upstream answered with.
+type Deliver struct{ id ID }
+
+// ID returns the request.
+func (d Deliver) ID() ID { return d.id }
+
+// Drop ends a request whose caller is gone.
+type Drop struct{ id ID }
+
+// ID returns the request.
+func (d Drop) ID() ID { return d.id }
+
+// Suspect says that an upstream may be dead.
+type Suspect struct {
+	upstream string
+	reason   string
+}
+
+// Upstream returns the upstream that may be dead.
+func (s Suspect) Upstream() string { return s.upstream }
+
+// Reason returns what makes it suspect.
+func (s Suspect) Reason() string { return s.reason }
+
+// Note is a decision on a request, for the log.
+type Note struct {
+	name     string
+	what     string
+	route    string
+	upstream string
+	reason   string
+	after    time.Duration
+	inputs   Inputs
+}
+
+// Inputs are what decided on a request.
+type Inputs struct {
+	heads   int
+	calls   float64
+	best    time.Duration
+	waiting int
+	age     time.Duration
+}
+
+// Name returns the name that the caller gave the request.
+func (n Note) Name() string { return n.name }
+
+// What returns the decision in a word.
+func (n Note) What() string { return n.what }
+
+// Route returns the name of the route.
+func (n Note) Route() string { return n.route }
+
+// Upstream returns the upstream that the decision is about, empty for none.
+func (n Note) Upstream() string { return n.upstream }
+
+// Reason returns why it was decided.
+func (n Note) Reason() string { return n.reason }
+
+// After returns how long after its arrival the request was decided on.
+func (n Note) After() time.Duration { return n.after }
+
+// Inputs returns what decided.
+func (n Note) Inputs() Inputs { return n.inputs }
+
+// Upstreams returns how many upstreams could be chosen from.
+func (i Inputs) Upstreams() int { return i.heads }
+
+// Calls returns how many calls the chosen upstream was believed to have.
+func (i Inputs) Calls() float64 { return i.calls }
+
+// Expected returns the time to the first event that was expected there.
+func (i Inputs) Expected() time.Duration { return i.best }
+
+// Waiting returns how many requests waited here.
+func (i Inputs) Waiting() int { return i.waiting }
+
+// Age returns the age of the load that the upstream last reported.
+func (i Inputs) Age() time.Duration { return i.age }
+
+func (Send) isEffect() {}
+
+func (Cancel) isEffect() {}
+
+func (Refuse) isEffect() {}
+
+func (Fail) isEffect() {}
+
+func (Deliver) isEffect() {}
+
+func (Drop) isEffect() {}
+
+func (Suspect) isEffect() {}
+
+func (Note) isEffect() {}
+
+// Reason says why a request is not answered.
+type Reason uint8
+
+// The reasons.
+const (
+	Unconfigured Reason = iota
+	NoRoute
+	NoKey
+	NoUpstream
+	Overload
+	Exhausted
+	BudgetSpent
+	Lost
+	Timeout
+	CallerGone
+	Stopped
+	Poison
+)
+
+var reasonNames = [...]string{
+	"no configuration yet", "no route", "unknown key", "no upstream", "overload", "attempts exhausted",
+	"retry budget spent", "answer lost", "timeout", "caller gone", "stopping", "crashes upstreams",
+}
+
+// String returns the reason in words.
+func (r Reason) String() string { return reasonNames[r] }
--- /dev/null
+++ b/pkg/dispatch/event.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import "github.com/azurepond/azurepond/pkg/route"
+
+// Event is something that happened to requests: Configured, Arrived, Started, Flowed, Silenced, Ended, Failed, Left,
+// Broke, Peers or Ticked.
+type Event interface{ isEvent() }
+
+// Configured says which configuration is in force.
+type Configured struct{ config route.Config }
+
+// NewConfigured returns the event that config is in force.
+func NewConfigured(config route.Config) Configured { return Configured{config} }
+
+// Arrived says that a caller sent a request, which was read whole.
+type Arrived struct{ request Request }
+
+// NewArrived returns the event that request came.
+func NewArrived(request Request) Arrived { return Arrived{request} }
+
+// Started says that an upstream began to answer with success.
+type Started struct {
+	attempt Attempt
+	load    Load
+}
+
+// NewStarted returns the event that an attempt is answered, with the load that the upstream reports.
+func NewStarted(attempt Attempt, load Load) Started { return Started{attempt, load} }
+
+// Flowed says that the first event of a stream came.
+type Flowed struct{ attempt Attempt }
+
+// NewFlowed returns the event that the first event of an attempt came.
+func NewFlowed(attempt Attempt) Flowed { return Flowed{attempt} }
+
+// Silenced says that a stream brought nothing for the time that its Send named.
+type Silenced struct{ attempt Attempt }
+
+// NewSilenced returns the event that an attempt fell silent.
+func NewSilenced(attempt Attempt) Silenced { return Silenced{attempt} }
+
+// Ended says that the caller has the whole answer of an attempt.
+type Ended struct{ attempt Attempt }
+
+// NewEnded returns the event that an attempt ended whole.
+func NewEnded(attempt Attempt) Ended { return Ended{attempt} }
+
+// Failure tells how an attempt failed.
+type Failure uint8
+
+// The failures that a driver reports.
+const (
+	// NoFailure stands for an attempt that did not fail.
+	NoFailure Failure = iota
+	// NotSent says that no byte of the request reached the upstream.
+	NotSent
+	// NotRun says that the upstream turned the request away and will not run it.
+	NotRun
+	// Misdirected says that another upstream has the address.
+	Misdirected
+	// Errored says that the upstream ran the request and answered with a failure, which the driver holds.
+	Errored
+	// Garbled says that what came was no whole answer to the request.
+	Garbled
+	// Reset says that the connection ended before the whole answer.
+	Reset
+	// Halted says that the attempt was ended by a Cancel effect.
+	Halted
+)
+
+var failureNames = [...]string{
+	"none", "not sent", "not run", "misdirected", "errored", "garbled", "reset", "halted",
+}
+
+// String returns the name of the failure.
+func (f Failure) String() string { return failureNames[f] }
+
+// ran reports whether the request may have run.
+func (f Failure) ran() bool { return f != NotSent && f != NotRun && f != Misdirected }
+
+// Failed says that an attempt ended without a whole answer.
+type Failed struct {
+	attempt Attempt
+	failure Failure
+	started bool
+	last    string
+	fault   string
+	load    Load
+}
+
+// NewFailed returns the event that an attempt failed.
+func NewFailed(attempt Attempt, failure Failure) Failed {
+	return Failed{attempt: attempt, failure: failure}
+}
+
+// WithProgress returns the event of an attempt of which the caller has the beginning, up to the event of that id.
+func (f Failed) WithProgress(last string) Failed {
+	f.started, f.last = true, last
+	return f
+}
+
+// WithFault returns the event with the upstream that is at fault, and the load that came with the refusal.
+func (f Failed) WithFault(fault string, load Load) Failed {
+	f.fault, f.load = fault, load
+	return f
+}
+
+// Left says that the caller of a request went away.
+type Left struct{ id ID }
+
+// NewLeft returns the event that the caller of a request went away.
+func NewLeft(id ID) Left { return Left{id} }
+
+// Broke says that a replica lost a member, so that its calls stand still.
+type Broke struct{ head string }
+
+// NewBroke returns the event that the replica of that head is broken.
+func NewBroke(head string) Broke { return Broke{head} }
+
+// Peers says how many daemons share the budgets.
+type Peers struct{ count int }
+
+// NewPeers returns the event that count daemons, this one among them, share the budgets.
+func NewPeers(count int) Peers { return Peers{count} }
+
+// Stopping says that this daemon takes no new requests any more.
+type Stopping struct{}
+
+// NewStopping returns the event that this daemon takes no new requests.
+func NewStopping() Stopping { return Stopping{} }
+
+// Ticked says that time has passed; it is due every 25 ms.
+type Ticked struct{}
+
+// NewTicked returns the event that time has passed.
+func NewTicked() Ticked { return Ticked{} }
+
+func (Configured) isEvent() {}
+
+func (Arrived) isEvent() {}
+
+func (Started) isEvent() {}
+
+func (Flowed) isEvent() {}
+
+func (Silenced) isEvent() {}
+
+func (Ended) isEvent() {}
+
+func (Failed) isEvent() {}
+
+func (Left) isEvent() {}
+
+func (Broke) isEvent() {}
+
+func (Peers) isEvent() {}
+
+func (Stopping) isEvent() {}
+
+func (Ticked) isEvent() {}
+
+// WithFailure returns the event with another failure.
+func (f Failed) WithFailure(failure Failure) Failed {
+	f.failure = failure
+	return f
+}
--- /dev/null
+++ b/pkg/dispatch/outcome.go
@@ -0,0 +1,219 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// maxSends bounds how often one request is sent, whatever was not run.
+const maxSends = 4
+
+func (s *State) start(now time.Time, e Started) {
+	a := s.attempts[e.attempt]
+	if a == nil {
+		return
+	}
+	a.started = true
+	a.call.started = true
+	a.own.report(now, e.load)
+	a.own.failures = 0
+}
+
+// flow takes in that the prompt of an attempt has been read.
+func (s *State) flow(now time.Time, id Attempt) {
+	a := s.attempts[id]
+	if a == nil {
+		return
+	}
+	s.readPrompt(a)
+	s.served(now, a.call)
+}
+
+func (s *State) readPrompt(a *attempt) {
+	if !a.silent || a.own.unread > 0 {
+		a.own.unread = max(a.own.unread-a.call.prompt, 0)
+	}
+}
+
+// silence suspects the upstream of a stream that fell silent.
+func (s *State) silence(id Attempt) {
+	a := s.attempts[id]
+	if a == nil {
+		return
+	}
+	a.silent = true
+	s.emit(Suspect{a.target(), "a stream fell silent"})
+}
+
+func (a *attempt) target() string { return a.call.tried[len(a.call.tried)-1] }
+
+// drop forgets an attempt that ended.
+func (s *State) drop(now time.Time, a *attempt) {
+	delete(s.attempts, a.id)
+	a.own.end(now)
+	a.call.attempt = nil
+}
+
+func (s *State) end(now time.Time, up Upstreams, id Attempt) {
+	a := s.attempts[id]
+	if a == nil {
+		return
+	}
+	s.drop(now, a)
+	s.finish(now, a.call, "answered", a.target(), "")
+	s.serveQueue(now, up)
+}
+
+// finish forgets a call that has its final answer.
+func (s *State) finish(now time.Time, c *call, what, upstream, reason string) {
+	delete(s.calls, c.id)
+	s.unqueue(c)
+	s.note(now, c, what, upstream, reason, Inputs{waiting: len(s.queue)})
+}
+
+// fail takes in that an attempt failed, and tries again or ends the call.
+func (s *State) fail(now time.Time, up Upstreams, e Failed) {
+	a := s.attempts[e.attempt]
+	if a == nil {
+		return
+	}
+	c := a.call
+	if !a.started {
+		s.readPrompt(a)
+	}
+	s.drop(now, a)
+	s.blame(now, a, e)
+	c.failure, c.held = e.failure, e.failure == Errored
+	if e.started {
+		c.started, c.last = true, e.last
+	}
+	if e.failure.ran() {
+		c.runs++
+	}
+	if c.halted != nil {
+		s.conclude(now, c, a.target())
+		return
+	}
+	s.note(now, c, "attempt failed", a.target(), e.failure.String(), Inputs{calls: a.own.calls(now), waiting: len(s.queue)})
+	s.retry(now, up, c)
+	s.serveQueue(now, up)
+}
+
+// blame takes in what a failure says of the upstream.
+func (s *State) blame(now time.Time, a *attempt, e Failed) {
+	a.own.report(now, e.load)
+	if e.fault != "" {
+		s.emit(Suspect{e.fault, "named by an upstream"})
+	}
+	switch e.failure {
+	case NotSent:
+		a.own.failures++
+		a.own.avoid = now.Add(failurePause)
+		s.emit(Suspect{a.target(), "no connection"})
+	case Reset:
+		a.own.failures++
+		s.emit(Suspect{a.target(), "connection reset"})
+	case Misdirected:
+		a.own.avoid = now.Add(deadPause)
+		s.emit(Suspect{a.target(), "another upstream has the address"})
+	case NotRun:
+		a.own.avoid = now.Add(fullPause)
+	}
+}
+
+// retry sends a call again if that is allowed and helps.
+func (s *State) retry(now time.Time, up Upstreams, c *call) {
+	switch {
+	case c.runs > 0 && !c.route.Repeatable(), c.runs >= c.route.Attempts(), c.sends >= maxSends:
+		s.giveUp(now, c, Exhausted, s.again(now, c))
+	case !s.budget(c.service).repeat(now, s.settings.retries, s.sharers):
+		s.giveUp(now, c, BudgetSpent, s.again(now, c))
+	default:
+		s.place(now, up, c)
+	}
+}
+
+// giveUp ends a call without success: as not run only if no upstream may have run it.
+func (s *State) giveUp(now time.Time, c *call, reason Reason, again time.Duration) {
+	switch {
+	case c.held:
+		s.emit(Deliver{c.id})
+		s.finish(now, c, "failure passed on", "", reason.String())
+	case c.runs > 0 || c.started:
+		s.emit(Fail{c.id, reason, false})
+		s.finish(now, c, "failed", "", reason.String())
+	default:
+		s.refuse(now, c, reason, again)
+	}
+}
+
+// refuse ends a call that has not run.
+func (s *State) refuse(now time.Time, c *call, reason Reason, again time.Duration) {
+	s.emit(Refuse{c.id, reason, again})
+	s.finish(now, c, "refused", "", reason.String())
+}
+
+// expire ends a call whose time has run out.
+func (s *State) expire(now time.Time, c *call) {
+	if c.attempt != nil {
+		s.halt(c, Fail{c.id, Timeout, true})
+		return
+	}
+	if c.runs > 0 || c.started {
+		s.emit(Fail{c.id, Timeout, true})
+		s.finish(now, c, "failed", "", Timeout.String())
+		return
+	}
+	s.refuse(now, c, Timeout, 0)
+}
+
+// leave ends a call whose caller is gone.
+func (s *State) leave(now time.Time, id ID) {
+	c := s.calls[id]
+	if c == nil {
+		return
+	}
+	if c.attempt != nil {
+		s.halt(c, Drop{c.id})
+		return
+	}
+	s.emit(Drop{c.id})
+	s.finish(now, c, "dropped", "", CallerGone.String())
+}
+
+// halt cancels the attempt of a call; the verdict follows when it has ended.
+func (s *State) halt(c *call, v verdict) {
+	c.halted = v
+	if !c.attempt.cut {
+		c.attempt.cut = true
+		s.emit(Cancel{c.attempt.id})
+	}
+}
+
+// conclude ends a call whose attempt was cancelled.
+func (s *State) conclude(now time.Time, c *call, upstream string) {
+	s.emit(c.halted)
+	switch v := c.halted.(type) {
+	case Fail:
+		s.finish(now, c, "failed", upstream, v.reason.String())
+	case Drop:
+		s.finish(now, c, "dropped", upstream, CallerGone.String())
+	}
+}
+
+// breakOff ends the attempts at a replica that lost a member, so that resumable streams go on elsewhere.
+func (s *State) breakOff(now time.Time, head string) {
+	own := s.upstream(head)
+	own.avoid = now.Add(deadPause)
+	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[id]
+		if a.own != own || a.cut || a.call.route.Kind() == route.Once {
+			continue
+		}
+		a.cut = true
+		s.emit(Cancel{a.id})
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/place.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// farCost is what a request in another data centre costs more: its delay both ways is a few milliseconds.
+const farCost = 3 * time.Millisecond
+
+// ties is the part of the cost by which choices may differ and still count as equal, so that daemons that see the same
+// old reports don't all choose the same upstream.
+const ties = 0.1
+
+// choice is an upstream and what is expected there.
+type choice struct {
+	target Target
+	own    *upstream
+	calls  float64
+	cost   time.Duration
+}
+
+// place sends a call to the upstream where its answer is expected first, queues it if none has room, or refuses it.
+func (s *State) place(now time.Time, up Upstreams, c *call) {
+	best, others, isFound := s.choose(now, up, c)
+	if isFound {
+		s.send(now, c, best, others)
+		return
+	}
+	if others == 0 && !s.mayAppear(c) {
+		s.giveUp(now, c, NoUpstream, s.again(now, c))
+		return
+	}
+	s.wait(now, c, others)
+}
+
+// mayAppear reports whether an upstream that takes the call may appear soon: the service or model is configured.
+func (s *State) mayAppear(c *call) bool {
+	if !s.isModel(c) {
+		return false
+	}
+	_, model := s.engineOf(c)
+	return model.Name() != ""
+}
+
+// choose returns the best upstream with room for a call, and how many take such calls at all.
+func (s *State) choose(now time.Time, up Upstreams, c *call) (best choice, count int, isFound bool) {
+	var targets []Target
+	if s.isModel(c) {
+		targets = up.Replicas(c.model)
+	} else {
+		targets = up.Processes(c.service)
+	}
+	var open []choice
+	for _, t := range targets {
+		if slices.Contains(c.tried, t.name) {
+			continue
+		}
+		count++
+		if one, hasRoom := s.judge(now, c, t); hasRoom {
+			open = append(open, one)
+		}
+	}
+	if len(open) == 0 {
+		return choice{}, count, false
+	}
+	best = open[0]
+	for _, one := range open[1:] {
+		if one.cost < best.cost {
+			best = one
+		}
+	}
+	var equal []choice
+	for _, one := range open {
+		if float64(one.cost) <= float64(best.cost)*(1+ties) {
+			equal = append(equal, one)
+		}
+	}
+	return equal[s.random.IntN(len(equal))], count, true
+}
+
+// judge returns what is expected of a call at a target, and whether there is room for it.
+func (s *State) judge(now time.Time, c *call, t Target) (choice, bool) {
+	own := s.upstream(t.name)
+	one := choice{target: t, own: own, calls: own.calls(now)}
+	if now.Before(own.avoid) {
+		return one, false
+	}
+	if s.isModel(c) {
+		one.cost = s.firstEvent(c, one)
+		if one.calls >= float64(t.slots) {
+			return one, false
+		}
+	} else {
+		one.cost = time.Duration((1 + one.calls) * float64(processCost))
+		if one.calls >= float64(t.slots)*processRoom {
+			return one, false
+		}
+	}
+	one.cost = time.Duration(float64(one.cost) * own.slow)
+	if !t.near {
+		one.cost += farCost
+	}
+	return one, true
+}
+
+// processCost stands for the unknown time of one call of a plain service when costs are compared.
+const processCost = 20 * time.Millisecond
+
+// processRoom is how many calls a process of a plain service may have for each of its slots; more wait in its queue.
+const processRoom = 2.0
+
+// firstEvent returns the time to the first event of a call at a replica: a pass of all that run there, and the reading
+// of prompts that were sent there before.
+func (s *State) firstEvent(c *call, one choice) time.Duration {
+	engine, model := s.engineOf(c)
+	return engine.Pass(model, int(one.calls)+1) + engine.Read(model, one.own.unread+c.prompt)
+}
+
+func (s *State) send(now time.Time, c *call, best choice, others int) {
+	s.last++
+	a := &attempt{id: s.last, call: c, own: best.own, at: now}
+	s.attempts[a.id] = a
+	best.own.begin(now, c.prompt)
+	c.attempt = a
+	c.sends++
+	c.tried = append(c.tried, best.target.name)
+	c.held = false
+	s.emit(Send{
+		attempt: a.id, id: c.id, upstream: best.target.name, address: best.target.address,
+		organisation: c.organisation, priority: c.priority, left: c.ends.Sub(now), last: c.last,
+		kind: c.route.Kind(), silence: s.silenceOf(c),
+	})
+	s.note(now, c, "sent", best.target.name, "", Inputs{others, best.calls, best.cost, len(s.queue), now.Sub(best.own.reported)})
+}
+
+// The pauses after which a stream counts as silent.
+const (
+	silencePasses = 3                      // passes that a stream may miss: prompts of others are read between them
+	minSilence    = 250 * time.Millisecond // several large prompts in one pass take that long
+	firstSilence  = 700 * time.Millisecond // a first event also waits for the queue of the replica
+)
+
+// silenceOf returns the pause after which a stream counts as silent.
+func (s *State) silenceOf(c *call) time.Duration {
+	if !s.isModel(c) {
+		return 0
+	}
+	engine, model := s.engineOf(c)
+	return max(minSilence, silencePasses*engine.Pass(model, engine.Slots()))
+}
--- /dev/null
+++ b/pkg/dispatch/state.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// State is all that one daemon knows and decides about requests.
+type State struct {
+	settings  Settings
+	config    route.Config
+	known     bool // a configuration is in force
+	random    *rand.Rand
+	calls     map[ID]*call
+	attempts  map[Attempt]*attempt
+	last      Attempt
+	upstreams map[string]*upstream
+	budgets   map[string]*budget
+	queue     []*call
+	sharers   int
+	stopping  bool
+	cleaned   time.Time
+	demand    map[string]float64 // work that came for each model since the last look, in replica-seconds
+	rates     map[string]*rate
+	effects   []Effect
+}
+
+// Settings are what the decisions depend on.
+type Settings struct {
+	seed    uint64
+	retries Retries
+}
+
+// NewSettings returns settings with a seed for random choices and the bound of retries.
+func NewSettings(seed uint64, retries Retries) Settings { return Settings{seed, retries} }
+
+// New returns the state of a daemon that has taken no request yet.
+func New(settings Settings) State {
+	return State{
+		settings:  settings,
+		random:    rand.New(rand.NewPCG(settings.seed, dispatchSeed)),
+		calls:     map[ID]*call{},
+		attempts:  map[Attempt]*attempt{},
+		upstreams: map[string]*upstream{},
+		budgets:   map[string]*budget{},
+		demand:    map[string]float64{},
+		rates:     map[string]*rate{},
+		sharers:   1,
+	}
+}
+
+// dispatchSeed tells the draws of this part from those of others.
+const dispatchSeed = 11
+
+// Reduce applies one event that happened at now and returns what has to be carried out, in order.
+func (s *State) Reduce(now time.Time, up Upstreams, e Event) []Effect {
+	s.effects = nil
+	switch e := e.(type) {
+	case Configured:
+		s.config, s.known = e.config, true
+	case Arrived:
+		s.arrive(now, up, e.request)
+	case Started:
+		s.start(now, e)
+	case Flowed:
+		s.flow(now, e.attempt)
+	case Silenced:
+		s.silence(e.attempt)
+	case Ended:
+		s.end(now, up, e.attempt)
+	case Failed:
+		s.fail(now, up, e)
+	case Left:
+		s.leave(now, e.id)
+	case Broke:
+		s.breakOff(now, e.head)
+	case Peers:
+		s.sharers = max(e.count, 1)
+	case Stopping:
+		s.stopping = true
+	case Ticked:
+		s.tick(now, up)
+	}
+	return s.effects
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// Running returns how many requests have not ended.
+func (s *State) Running() int { return len(s.calls) }
+
+// Waiting returns how many requests wait for an upstream.
+func (s *State) Waiting() int { return len(s.queue) }
+
+// tick ends what is overdue and sends what waits.
+func (s *State) tick(now time.Time, up Upstreams) {
+	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+		c := s.calls[id]
+		if !now.Before(c.ends) && c.halted == nil {
+			s.expire(now, c)
+		}
+	}
+	s.serveQueue(now, up)
+	if now.Sub(s.cleaned) >= forgetAfter {
+		s.cleaned = now
+		s.forget(now)
+	}
+}
+
+// note tells the log what was decided on a call.
+func (s *State) note(now time.Time, c *call, what, upstream, reason string, inputs Inputs) {
+	s.emit(Note{c.name, what, c.route.Name(), upstream, reason, now.Sub(c.arrived), inputs})
+}
+
+func (s *State) budget(service string) *budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = &budget{}
+		s.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/dispatch/upstream.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// Load is what an upstream reports of its work.
+type Load struct {
+	known   bool
+	running int
+	waiting int
+	slots   int
+}
+
+// NewLoad returns the load of an upstream that runs and queues so many requests and has so many slots.
+func NewLoad(running, waiting, slots int) Load { return Load{true, running, waiting, slots} }
+
+// Target is an upstream that takes requests.
+type Target struct {
+	name    string
+	address string
+	near    bool
+	slots   int
+}
+
+// NewTarget returns the upstream called name at address (host:port), whether it is in the daemon's data centre, and how
+// many requests it runs at once.
+func NewTarget(name, address string, near bool, slots int) Target {
+	return Target{name, address, near, slots}
+}
+
+// Name returns the name of the upstream.
+func (t Target) Name() string { return t.name }
+
+// Upstreams tells which upstreams take requests.
+type Upstreams interface {
+	// Replicas returns the heads of the replicas that serve a model.
+	Replicas(model string) []Target
+	// Processes returns the upstreams of a plain service.
+	Processes(service string) []Target
+}
+
+// The pauses of an upstream that failed.
+const (
+	failurePause = time.Second            // a restarted process is listed within its heartbeat
+	fullPause    = 100 * time.Millisecond // about one event of each running call, after which a slot may be free
+	deadPause    = 3 * time.Second        // the list names a dead instance for three heartbeats
+)
+
+// upstream is what this daemon itself knows of one upstream.
+type upstream struct {
+	running  int
+	unread   int       // prompt tokens that were sent and not answered yet
+	load     Load      // last report
+	reported time.Time // when it came
+	began    int       // own requests begun since
+	ended    int       // own requests ended since
+	avoid    time.Time // no new requests until then
+	used     time.Time
+	failures int
+	slow     float64 // how much longer answers take than expected, 1 for as expected
+}
+
+// calls returns how many requests the upstream is believed to have.
+func (u *upstream) calls(now time.Time) float64 {
+	if !u.load.known || now.Sub(u.reported) > reportAge {
+		return float64(u.running)
+	}
+	return max(float64(u.load.running+u.load.waiting+u.began-u.ended), float64(u.running))
+}
+
+// reportAge is how long a report of load counts; requests last about two seconds.
+const reportAge = 2 * time.Second
+
+func (u *upstream) report(now time.Time, load Load) {
+	if !load.known {
+		return
+	}
+	u.load, u.reported, u.began, u.ended = load, now, 0, 0
+}
+
+func (u *upstream) begin(now time.Time, prompt int) {
+	u.running++
+	u.began++
+	u.unread += prompt
+	u.used = now
+}
+
+func (u *upstream) end(now time.Time) {
+	u.running--
+	u.ended++
+	u.used = now
+}
+
+func (s *State) upstream(name string) *upstream {
+	u := s.upstreams[name]
+	if u == nil {
+		u = &upstream{slow: 1}
+		s.upstreams[name] = u
+	}
+	return u
+}
+
+// forgetAfter is how long an unused upstream is remembered; names are new at each start of a process.
+const forgetAfter = time.Minute
+
+func (s *State) forget(now time.Time) {
+	for name, u := range s.upstreams {
+		if u.running == 0 && now.Sub(u.used) > forgetAfter {
+			delete(s.upstreams, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/effect.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/object"
+	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/replica"
+)
+
+// Effect is what a driver has to carry out.
+type Effect interface{ isEffect() }
+
+// Store asks for one call to the object API on behalf of a part, which answers with Resulted.
+type Store struct {
+	part    Part
+	request object.Request
+}
+
+// Part returns the part that the result goes to.
+func (s Store) Part() Part { return s.part }
+
+// Request returns the call to make.
+func (s Store) Request() object.Request { return s.request }
+
+// Decode asks for a configuration to be read, which answers with Decoded.
+type Decode struct{ document peer.Document }
+
+// Document returns the configuration as the store holds it.
+func (d Decode) Document() peer.Document { return d.document }
+
+// Advertise says which addresses callers are told from now on.
+type Advertise struct{ addresses []string }
+
+// Addresses returns the addresses (host:port), this daemon's own first unless it stops.
+func (a Advertise) Addresses() []string { return a.addresses }
+
+// Ready says whether this daemon counts as ready from now on.
+type Ready struct {
+	ready  bool
+	reason string
+}
+
+// Ready reports whether the daemon is ready.
+func (r Ready) Ready() bool { return r.ready }
+
+// Reason returns why.
+func (r Ready) Reason() string { return r.reason }
+
+// Refusing says that new connections are not worth accepting any more, since this daemon stops.
+type Refusing struct{}
+
+// Stopped says that nothing is left to wait for: the process may end.
+type Stopped struct{}
+
+// Led says that this daemon forms the replicas from now on, or no longer does.
+type Led struct {
+	leads  bool
+	leader string
+}
+
+// Leads reports whether this daemon forms the replicas.
+func (l Led) Leads() bool { return l.leads }
+
+// Leader returns the daemon that does, empty for none.
+func (l Led) Leader() string { return l.leader }
+
+// ToPeer is an effect towards peers: peer.Send or Reset.
+type ToPeer struct{ effect peer.Effect }
+
+// Effect returns the effect of pkg/peer.
+func (t ToPeer) Effect() peer.Effect { return t.effect }
+
+// ToReplica is an effect towards engines: replica.Order, Look or Decided.
+type ToReplica struct{ effect replica.Effect }
+
+// Effect returns the effect of pkg/replica.
+func (t ToReplica) Effect() replica.Effect { return t.effect }
+
+// ToDispatch is an effect on requests: any of pkg/dispatch but Suspect.
+type ToDispatch struct{ effect dispatch.Effect }
+
+// Effect returns the effect of pkg/dispatch.
+func (t ToDispatch) Effect() dispatch.Effect { return t.effect }
+
+func (Store) isEffect() {}
+
+func (Decode) isEffect() {}
+
+func (Advertise) isEffect() {}
+
+func (Ready) isEffect() {}
+
+func (Refusing) isEffect() {}
+
+func (Stopped) isEffect() {}
+
+func (Led) isEffect() {}
+
+func (ToPeer) isEffect() {}
+
+func (ToReplica) isEffect() {}
+
+func (ToDispatch) isEffect() {}
--- /dev/null
+++ b/pkg/gateway/hand.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/replica"
+)
+
+func (s *State) toPeer(now time.Time, e peer.Event) {
+	switch e := e.(type) {
+	case peer.Received:
+		delete(s.members.cut, e.From())
+	case peer.Closed:
+		s.members.cut[e.Name()] = true
+	}
+	for _, effect := range s.peer.Reduce(now, e) {
+		s.fromPeer(now, effect)
+	}
+}
+
+func (s *State) fromPeer(now time.Time, effect peer.Effect) {
+	switch effect := effect.(type) {
+	case peer.Store:
+		s.emit(Store{PeerPart, effect.Request()})
+	case peer.Adopt:
+		if effect.Document().Name() == configDocument {
+			s.emit(Decode{effect.Document()})
+		}
+	case peer.Learn:
+		s.learn(now, effect)
+	case peer.Members:
+		s.members.live = effect.Members()
+	case peer.Send, peer.Reset:
+		s.emit(ToPeer{effect})
+	}
+}
+
+// learn takes in a soft fact of a peer.
+func (s *State) learn(now time.Time, fact peer.Learn) {
+	switch fact.Topic() {
+	case storeTopic:
+		s.members.store[fact.Origin()] = fact.Expiry()
+	case deadTopic:
+		s.toReplica(now, replica.NewSuspected(replica.ID(fact.Key())))
+	}
+}
+
+func (s *State) toReplica(now time.Time, e replica.Event) {
+	for _, effect := range s.replica.Reduce(now, e) {
+		s.fromReplica(now, effect)
+	}
+}
+
+func (s *State) fromReplica(now time.Time, effect replica.Effect) {
+	switch effect := effect.(type) {
+	case replica.Store:
+		s.emit(Store{ReplicaPart, effect.Request()})
+	case replica.Spread:
+		s.spreadDeath(now, effect.ID())
+	case replica.Changed:
+		s.toDispatch(now, dispatch.NewTicked())
+	case replica.Order, replica.Look, replica.Decided:
+		s.emit(ToReplica{effect})
+	}
+}
+
+// spreadDeath tells peers and the requests at its replica that an instance does not answer.
+func (s *State) spreadDeath(now time.Time, id replica.ID) {
+	s.toPeer(now, peer.NewShared(deadTopic, string(id), []byte{1}, now.Add(deadFact)))
+	if head, isMember := s.replica.HeadOf(id); isMember {
+		s.toDispatch(now, dispatch.NewBroke(string(head)))
+	}
+}
+
+func (s *State) toDispatch(now time.Time, e dispatch.Event) {
+	for _, effect := range s.dispatch.Reduce(now, s, e) {
+		s.fromDispatch(now, effect)
+	}
+}
+
+func (s *State) fromDispatch(now time.Time, effect dispatch.Effect) {
+	suspect, isSuspect := effect.(dispatch.Suspect)
+	if !isSuspect {
+		s.emit(ToDispatch{effect})
+		return
+	}
+	id := replica.ID(suspect.Upstream())
+	members := s.replica.Members(id)
+	if len(members) == 0 {
+		members = []replica.ID{id}
+	}
+	for _, member := range members {
+		s.toReplica(now, replica.NewSuspected(member))
+	}
+}
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -52,6 +52,9 @@
 // NewClosed returns the event that there is no link to the peer at address (host:port); name is empty if it never answered.
 func NewClosed(name, address string) Closed { return Closed{name, address} }
 
+// Name returns the name of the peer, empty if it never answered.
+func (c Closed) Name() string { return c.name }
+
 // Probed says what a probe by this daemon saw.
 type Probed struct{ sighting instance.Sighting }
 
--- a/pkg/peer/settings.go
+++ b/pkg/peer/settings.go
@@ -27,6 +27,7 @@
 	probe    time.Duration
 	watchers int
 	reread   time.Duration
+	backoff  time.Duration
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; it listens for peers on address and for
@@ -73,6 +74,15 @@
 	return s
 }
 
+// WithBackoff returns the settings with the longest wait before the store is asked again after it failed.
+func (s Settings) WithBackoff(longest time.Duration) Settings {
+	s.backoff = longest
+	return s
+}
+
+// Backoff returns the longest wait before the store is asked again after it failed.
+func (s Settings) Backoff() time.Duration { return orDuration(s.backoff, maxBackoff) }
+
 // Name returns the name of the daemon.
 func (s Settings) Name() string { return s.name }
 
--- a/pkg/peer/store.go
+++ b/pkg/peer/store.go
@@ -163,7 +163,7 @@
 func (s *State) failed(now time.Time, f *follow) {
 	delete(s.requests, f.ref)
 	f.ref, f.watching = 0, false
-	f.notBefore = now.Add(s.jitter(min(minBackoff<<min(f.failures, 10), maxBackoff)))
+	f.notBefore = now.Add(s.jitter(min(minBackoff<<min(f.failures, 10), s.settings.Backoff())))
 	f.due = f.notBefore
 	f.failures++
 }
--- /dev/null
+++ b/pkg/replica/effect.go
@@ -0,0 +1,127 @@
+package replica
+
+import "github.com/azurepond/azurepond/pkg/object"
+
+// Effect is what a driver has to do: Store, Order, Look, Spread, Changed or Decided.
+type Effect interface{ isEffect() }
+
+// Store asks for one call to the object API, which answers with Resulted.
+type Store struct{ request object.Request }
+
+// Request returns the call to make.
+func (s Store) Request() object.Request { return s.request }
+
+// Verb is what an order asks for.
+type Verb uint8
+
+// The verbs of orders.
+const (
+	Join Verb = iota
+	Opening
+	Cut
+	Drain
+	Leave
+	Stage
+)
+
+var verbNames = [...]string{"join", "open", "close-cut", "close-wait", "leave", "stage"}
+
+// String returns the name of the verb.
+func (v Verb) String() string { return verbNames[v] }
+
+// Order tells one instance what to do; the driver answers with Ordered.
+type Order struct {
+	verb    Verb
+	id      ID
+	address string
+	replica string
+	epoch   uint64
+	model   string
+	members []ID
+	token   uint64
+}
+
+// Verb returns what is asked for.
+func (o Order) Verb() Verb { return o.verb }
+
+// ID returns the instance that the order is for.
+func (o Order) ID() ID { return o.id }
+
+// Address returns where the instance listens, as host:port.
+func (o Order) Address() string { return o.address }
+
+// Replica returns the replica that the order is about, empty for Stage.
+func (o Order) Replica() string { return o.replica }
+
+// Epoch returns the decision by which the replica was formed.
+func (o Order) Epoch() uint64 { return o.epoch }
+
+// Model returns the model of a Join or Stage.
+func (o Order) Model() string { return o.model }
+
+// Members returns the members of a Join, the head first.
+func (o Order) Members() []ID { return o.members }
+
+// Token returns the fencing number; later orders carry higher ones.
+func (o Order) Token() uint64 { return o.token }
+
+// Look asks for one look at an instance, which answers with Looked.
+type Look struct {
+	id      ID
+	address string
+}
+
+// ID returns the instance to look at.
+func (l Look) ID() ID { return l.id }
+
+// Address returns where the instance listens, as host:port.
+func (l Look) Address() string { return l.address }
+
+// Spread tells the other daemons that an instance does not answer.
+type Spread struct{ id ID }
+
+// ID returns the instance that does not answer.
+func (s Spread) ID() ID { return s.id }
+
+// Changed says that another set of replicas takes calls.
+type Changed struct{}
+
+// Decided says what was decided about a replica, for the log.
+type Decided struct {
+	what    string
+	replica string
+	model   string
+	epoch   uint64
+	members []ID
+	reason  string
+}
+
+// What returns the decision in a word.
+func (d Decided) What() string { return d.what }
+
+// Replica returns the replica that it is about.
+func (d Decided) Replica() string { return d.replica }
+
+// Model returns the model of the replica.
+func (d Decided) Model() string { return d.model }
+
+// Epoch returns the number of the decision.
+func (d Decided) Epoch() uint64 { return d.epoch }
+
+// Members returns the members.
+func (d Decided) Members() []ID { return d.members }
+
+// Reason returns why it was decided.
+func (d Decided) Reason() string { return d.reason }
+
+func (Store) isEffect() {}
+
+func (Order) isEffect() {}
+
+func (Look) isEffect() {}
+
+func (Spread) isEffect() {}
+
+func (Changed) isEffect() {}
+
+func (Decided) isEffect() {}
--- /dev/null
+++ b/pkg/replica/instance.go
@@ -0,0 +1,103 @@
+package replica
+
+// ID names one instance.
+type ID string
+
+// Phase is how far an instance is in its replica.
+type Phase uint8
+
+// The phases of a member; None stands for an instance without a replica.
+const (
+	None Phase = iota
+	Joining
+	Ready
+	Open
+	Closing
+	Broken
+)
+
+var phaseNames = [...]string{"none", "joining", "ready", "open", "closing", "broken"}
+
+// String returns the name of the phase.
+func (p Phase) String() string { return phaseNames[p] }
+
+// Membership is the place of an instance in a replica as the instance reports it.
+type Membership struct {
+	replica string
+	epoch   uint64
+	rank    int
+	phase   Phase
+}
+
+// NewMembership returns the place of rank in the replica that was formed as epoch.
+func NewMembership(replica string, epoch uint64, rank int, phase Phase) Membership {
+	return Membership{replica, epoch, rank, phase}
+}
+
+// isOf reports whether the place is in replica as it was formed as epoch.
+func (m Membership) isOf(replica string, epoch uint64) bool {
+	return m.phase != None && m.replica == replica && m.epoch == epoch
+}
+
+// serves reports whether the member is the head of a replica that takes or finishes calls.
+func (m Membership) serves() bool { return m.rank == 0 && (m.phase == Open || m.phase == Closing) }
+
+// Instance is what one engine says of itself.
+type Instance struct {
+	id      ID
+	address string
+	centre  string
+	domain  string
+	born    int64
+	leaving bool
+	loaded  string
+	staged  []string
+	member  Membership
+}
+
+// NewInstance returns the instance at address (host:port) of a fabric domain in a data centre; born tells its starts apart.
+func NewInstance(id ID, address, centre, domain string, born int64) Instance {
+	return Instance{id: id, address: address, centre: centre, domain: domain, born: born}
+}
+
+// WithLeaving returns the instance with whether it is about to end.
+func (i Instance) WithLeaving(leaving bool) Instance {
+	i.leaving = leaving
+	return i
+}
+
+// WithModels returns the instance with the model in its memory, empty for none, and those staged on its host.
+func (i Instance) WithModels(loaded string, staged ...string) Instance {
+	i.loaded, i.staged = loaded, staged
+	return i
+}
+
+// WithMembership returns the instance with its place in a replica.
+func (i Instance) WithMembership(m Membership) Instance {
+	i.member = m
+	return i
+}
+
+// ID returns the name of the instance.
+func (i Instance) ID() ID { return i.id }
+
+// Address returns where the engine listens, as host:port.
+func (i Instance) Address() string { return i.address }
+
+// Centre returns the data centre.
+func (i Instance) Centre() string { return i.centre }
+
+// Leaving reports whether the instance is about to end.
+func (i Instance) Leaving() bool { return i.leaving }
+
+// Membership returns the place in a replica.
+func (i Instance) Membership() Membership { return i.member }
+
+func (i Instance) hasStaged(model string) bool {
+	for _, staged := range i.staged {
+		if staged == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/replica/lead.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/object"
+)
+
+// led takes over or gives up the formation of replicas.
+func (s *State) led(leads bool) {
+	if s.leads == leads {
+		return
+	}
+	s.leads, s.read, s.claims = leads, false, false
+	s.sent = map[ID]*errand{}
+	if leads {
+		s.writer.Forget()
+	}
+}
+
+// Leads reports whether this daemon forms the replicas.
+func (s *State) Leads() bool { return s.leads }
+
+// Recorded returns the number of the last decision that this daemon knows, and how many replicas it holds.
+func (s *State) Recorded() (fence uint64, replicas int) { return s.record.fence, len(s.record.groups) }
+
+// lead takes the next step of the formation: first the record, then orders by what is recorded.
+func (s *State) lead(now time.Time) {
+	if !s.leads || len(s.engine.Models()) == 0 {
+		return
+	}
+	if s.read && s.writer.Known() {
+		if s.claims {
+			s.order(now)
+		}
+		s.decide(now)
+	}
+	for _, request := range s.writer.Tick(now, &s.refs) {
+		s.emit(Store{request})
+	}
+}
+
+// decide records what has to change; a new leader records its takeover first, so that its orders carry a higher number.
+func (s *State) decide(now time.Time) {
+	next, isOther := s.plan(now)
+	if !isOther && s.claims {
+		return
+	}
+	next.fence = s.record.fence + 1
+	for i := range next.groups {
+		if next.groups[i].epoch == 0 {
+			next.groups[i].epoch = next.fence
+		}
+	}
+	data, err := next.encode()
+	if err != nil {
+		s.emit(Decided{what: "record not written", reason: err.Error()})
+		return
+	}
+	s.writer.Write(data)
+}
+
+// resulted takes in what the store answered.
+func (s *State) resulted(now time.Time, result object.Result) {
+	outcome := s.writer.Take(now, result)
+	switch outcome.(type) {
+	case object.Current:
+		s.adopt(false)
+	case object.Written:
+		s.adopt(true)
+	case object.Overtaken:
+		s.adopt(false)
+	case object.Unreadable:
+		s.emit(Decided{what: "record unreadable", reason: "another writer holds the object"})
+	}
+}
+
+// adopt takes over the record that the writer holds; own tells whether this daemon wrote it.
+func (s *State) adopt(own bool) {
+	r, err := decodeRecord(s.writer.Value())
+	if err != nil {
+		s.emit(Decided{what: "record unreadable", reason: err.Error()})
+		return
+	}
+	s.tellChanges(r)
+	s.record, s.read, s.claims = r, true, own
+}
+
+// tellChanges says which replicas a record forms anew or gives up.
+func (s *State) tellChanges(next record) {
+	before := map[string]uint64{}
+	for _, g := range s.record.groups {
+		before[g.name] = g.epoch
+	}
+	for _, g := range next.groups {
+		if before[g.name] != g.epoch {
+			s.emit(Decided{"replica formed", g.name, g.model, g.epoch, g.ids(), "recorded"})
+		}
+		delete(before, g.name)
+	}
+	for name, epoch := range before {
+		s.emit(Decided{what: "replica given up", replica: name, epoch: epoch, reason: "recorded"})
+	}
+}
--- /dev/null
+++ b/pkg/replica/orders.go
@@ -0,0 +1,210 @@
+package replica
+
+import "time"
+
+// The pauses between orders to one instance.
+const (
+	orderAgain = 300 * time.Millisecond // an order takes a round trip of a few ms; what was lost is sent again
+	orderLook  = 400 * time.Millisecond // an instance reports a change at once; the list is late if it takes longer
+	orderSlack = 2 * time.Second        // beyond the time that a load takes, for loads that share the weight store
+)
+
+// drainLimit is how long the calls of a replica may go on that is closed for a member that is about to end; an instance
+// stays for at least the drain time that the platform announces, two seconds.
+const drainLimit = 1500 * time.Millisecond
+
+// tokenBits is the place that fencing numbers keep for the orders of one decision.
+const tokenBits = 20
+
+// errand is the last order to one instance.
+type errand struct {
+	order   Order
+	at      time.Time
+	pending bool
+	reply   Reply
+	due     time.Time // when the effect should show
+	looked  time.Time
+}
+
+// order gives the orders that bring the replicas to what is recorded.
+func (s *State) order(now time.Time) {
+	for _, g := range s.record.groups {
+		s.advance(now, g)
+	}
+	s.closeStrays(now)
+	if now.Sub(s.arrived) >= settleTime {
+		s.stage(now)
+	}
+}
+
+// advance brings one replica a step further: all join, then the head opens.
+func (s *State) advance(now time.Time, g group) {
+	ready := true
+	for _, m := range g.members {
+		n := s.nodes[m.id]
+		if !n.lives() || n.born != m.born || n.leaving {
+			return
+		}
+		if !n.member.isOf(g.name, g.epoch) {
+			ready = false
+			s.join(now, g, n)
+			continue
+		}
+		ready = ready && (n.member.phase == Ready || n.member.phase == Open)
+	}
+	head := s.nodes[g.members[0].id]
+	if ready && head.member.phase == Ready {
+		s.send(now, head, Order{verb: Opening, replica: g.name, epoch: g.epoch}, s.engine.Form())
+	}
+}
+
+// join orders an instance into g once its present replica has ended.
+func (s *State) join(now time.Time, g group, n *node) {
+	if !s.isReleased(now, n) {
+		return
+	}
+	model, _ := s.engine.Model(g.model)
+	takes := n.loadTime(model)
+	o := Order{verb: Join, replica: g.name, epoch: g.epoch, model: g.model, members: g.ids()}
+	if s.isUnderway(now, n, o) || takes == model.Load() && !s.mayLoad(now) {
+		return
+	}
+	s.send(now, n, o, takes)
+}
+
+// isReleased reports whether an instance may join another replica: the head of its present one takes no calls and runs
+// none. If not, it orders what is needed.
+func (s *State) isReleased(now time.Time, n *node) bool {
+	if n.member.phase == None {
+		return true
+	}
+	head := s.headOf(n.member)
+	if head == nil || !head.lives() {
+		s.send(now, n, Order{verb: Leave, replica: n.member.replica, epoch: n.member.epoch}, 0)
+		return false
+	}
+	if head.member.serves() {
+		s.close(now, head)
+		return false
+	}
+	return true
+}
+
+func (s *State) headOf(m Membership) *node {
+	for _, n := range s.nodes {
+		if n.member.isOf(m.replica, m.epoch) && n.member.rank == 0 {
+			return n
+		}
+	}
+	return nil
+}
+
+// close ends the work of a replica: at once if a member is missing, else after its calls had time to end.
+func (s *State) close(now time.Time, head *node) {
+	name := head.member.replica
+	since, isKnown := s.drains[name]
+	if !isKnown {
+		since = now
+		s.drains[name] = now
+	}
+	verb := Drain
+	if !s.isComplete(head) || now.Sub(since) >= drainLimit {
+		verb = Cut
+	}
+	s.send(now, head, Order{verb: verb, replica: name, epoch: head.member.epoch}, 0)
+}
+
+// isComplete reports whether all members of the replica that head leads are alive.
+func (s *State) isComplete(head *node) bool {
+	model, isKnown := s.engine.Model(head.loaded)
+	count := 0
+	for _, n := range s.nodes {
+		if n.lives() && n.member.isOf(head.member.replica, head.member.epoch) {
+			count++
+		}
+	}
+	return isKnown && count == model.Span()
+}
+
+// closeStrays closes replicas that are not recorded as they are.
+func (s *State) closeStrays(now time.Time) {
+	recorded := map[string]uint64{}
+	for _, g := range s.record.groups {
+		recorded[g.name] = g.epoch
+	}
+	for _, id := range s.ids() {
+		n := s.nodes[id]
+		if n.lives() && n.member.serves() && recorded[n.member.replica] != n.member.epoch {
+			s.close(now, n)
+		}
+	}
+	for name := range s.drains {
+		if !s.isServed(name) {
+			delete(s.drains, name)
+		}
+	}
+}
+
+func (s *State) isServed(name string) bool {
+	for _, n := range s.nodes {
+		if n.member.replica == name && n.member.serves() {
+			return true
+		}
+	}
+	return false
+}
+
+// isUnderway reports whether the same order has been given and its effect may still show.
+func (s *State) isUnderway(now time.Time, n *node, o Order) bool {
+	last := s.sent[n.id]
+	return last != nil && last.isAbout(o) && (last.pending || !s.isOverdue(now, n, last))
+}
+
+// send gives an order whose effect takes that long, unless it is under way.
+func (s *State) send(now time.Time, n *node, o Order, takes time.Duration) {
+	if s.isUnderway(now, n, o) {
+		return
+	}
+	s.tokens++
+	o.id, o.address = n.id, n.address
+	o.token = s.record.fence<<tokenBits | s.tokens
+	s.sent[n.id] = &errand{order: o, at: now, pending: true, due: now.Add(takes + orderSlack)}
+	s.emit(o)
+}
+
+// isOverdue reports whether an order that was answered has to be given again; while its effect is awaited, the instance
+// is looked at, since the list may be late.
+func (s *State) isOverdue(now time.Time, n *node, e *errand) bool {
+	switch e.reply {
+	case Begun, Done:
+		if now.Sub(e.at) >= orderLook && now.Sub(e.looked) >= orderLook && !n.looking {
+			e.looked = now
+			s.look(now, n.id, n)
+		}
+		return now.After(e.due)
+	}
+	return now.Sub(e.at) >= orderAgain
+}
+
+func (e *errand) isAbout(o Order) bool {
+	return e.order.verb == o.verb && e.order.replica == o.replica && e.order.epoch == o.epoch && e.order.model == o.model
+}
+
+// ordered takes in how an order was answered.
+func (s *State) ordered(now time.Time, e Ordered) {
+	last := s.sent[e.order.id]
+	if last == nil || last.order.token != e.order.token {
+		return
+	}
+	last.pending, last.reply = false, e.reply
+	n := s.nodes[e.order.id]
+	switch e.reply {
+	case Stale:
+		s.claims, s.read = false, false
+		s.writer.Forget()
+	case Unanswered, Unfit, Misdirected:
+		if n != nil {
+			s.suspect(now, e.order.id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/replica/plan.go
@@ -0,0 +1,235 @@
+package replica
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// rejoin is the time in which an instance joins whose last replica served the same model.
+const rejoin = 200 * time.Millisecond // the platform's figure
+
+// reserve is how many idle instances a fabric domain keeps to repair its replicas.
+const reserve = 0 // a replica that serves is worth more than a spare while half the load is within reach of the rest
+
+// settleTime is how long no new instance must have come before replicas are formed: instances that start together are
+// listed within a heartbeat of each other.
+const settleTime = 700 * time.Millisecond
+
+// draft is a record that is being changed.
+type draft struct {
+	*State
+	now    time.Time
+	next   record
+	taken  map[ID]bool
+	change bool
+}
+
+// plan returns the record as it should be, and whether it differs from the one in force.
+func (s *State) plan(now time.Time) (record, bool) {
+	d := &draft{State: s, now: now, next: s.record.clone(), taken: map[ID]bool{}}
+	d.dropUnknown()
+	var broken []group
+	kept := d.next.groups[:0]
+	for _, g := range d.next.groups {
+		if d.isSound(g) {
+			kept = append(kept, g)
+			d.take(g)
+			continue
+		}
+		broken = append(broken, g)
+	}
+	d.next.groups = kept
+	for _, g := range broken {
+		d.change = true
+		d.take(group{members: d.survivors(g)})
+	}
+	for _, g := range broken {
+		d.repair(g)
+	}
+	if now.Sub(s.arrived) >= settleTime {
+		d.form()
+	}
+	return d.next, d.change
+}
+
+// dropUnknown gives up replicas of models that no configuration names any more.
+func (d *draft) dropUnknown() {
+	d.next.groups = slices.DeleteFunc(d.next.groups, func(g group) bool {
+		_, isKnown := d.engine.Model(g.model)
+		d.change = d.change || !isKnown
+		return !isKnown
+	})
+}
+
+func (d *draft) take(g group) {
+	for _, m := range g.members {
+		d.taken[m.id] = true
+	}
+}
+
+// isSound reports whether all members of g are the same starts as recorded, alive and not about to end.
+func (d *draft) isSound(g group) bool {
+	for _, m := range g.members {
+		if !d.isUsable(m) {
+			return false
+		}
+	}
+	head := d.nodes[g.members[0].id]
+	return !head.member.isOf(g.name, g.epoch) || head.member.phase != Broken
+}
+
+func (d *draft) isUsable(m member) bool {
+	n := d.nodes[m.id]
+	return n.lives() && n.born == m.born && !n.leaving
+}
+
+func (d *draft) survivors(g group) []member {
+	var left []member
+	for _, m := range g.members {
+		if d.isUsable(m) {
+			left = append(left, m)
+		}
+	}
+	return left
+}
+
+// repair gives a broken replica new members from the fabric domain of its survivors, or gives it up.
+func (d *draft) repair(g group) {
+	members := d.survivors(g)
+	if len(members) == 0 {
+		return
+	}
+	model, _ := d.engine.Model(g.model)
+	missing := model.Span() - len(members)
+	spares := d.idle(d.nodes[members[0].id].domain, model)
+	if len(spares) < missing {
+		d.release(members)
+		return
+	}
+	for _, id := range spares[:missing] {
+		members = append(members, member{id, d.nodes[id].born})
+	}
+	d.add(group{g.name, g.model, 0, members})
+}
+
+func (d *draft) release(members []member) {
+	for _, m := range members {
+		delete(d.taken, m.id)
+	}
+}
+
+func (d *draft) add(g group) {
+	d.next.groups = append(d.next.groups, g)
+	d.take(g)
+	d.change = true
+}
+
+// idle returns the instances of a fabric domain that may join a replica of model, those that load fastest first.
+func (d *draft) idle(domain string, model route.Model) []ID {
+	var free []ID
+	for _, id := range d.ids() {
+		n := d.nodes[id]
+		if n.domain == domain && n.lives() && !n.leaving && !d.taken[id] {
+			free = append(free, id)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b ID) int {
+		return int(d.nodes[a].loadTime(model) - d.nodes[b].loadTime(model))
+	})
+	return free
+}
+
+// loadTime returns how long the instance takes to join a replica of model.
+func (n *node) loadTime(model route.Model) time.Duration {
+	switch {
+	case n.loaded == model.Name():
+		return rejoin
+	case n.hasStaged(model.Name()):
+		return model.Warm()
+	}
+	return model.Load()
+}
+
+// form makes new replicas of idle instances: of the model that has the smallest part of what it should have, in the domain
+// where they load fastest.
+func (d *draft) form() {
+	for d.formOne() {
+	}
+}
+
+func (d *draft) formOne() bool {
+	for _, model := range d.neediest() {
+		if members := d.cheapest(model); members != nil {
+			d.add(group{d.freeName(), model.Name(), 0, members})
+			return true
+		}
+	}
+	return false
+}
+
+// neediest returns the models in the order of how little they have of their share of the instances.
+func (d *draft) neediest() []route.Model {
+	held := map[string]int{}
+	for _, g := range d.next.groups {
+		held[g.model] += len(g.members)
+	}
+	part := func(m route.Model) float64 {
+		return float64(held[m.Name()]+m.Span()) / max(d.share(m), 1e-6)
+	}
+	models := slices.Clone(d.engine.Models())
+	slices.SortStableFunc(models, func(a, b route.Model) int {
+		if part(a) < part(b) {
+			return -1
+		}
+		return 1
+	})
+	return models
+}
+
+// share returns the part of all instances that model should have.
+func (d *draft) share(model route.Model) float64 { return model.Share() }
+
+// cheapest returns the idle instances of one domain that form a replica of model soonest, nil if there are too few.
+func (d *draft) cheapest(model route.Model) []member {
+	var best []member
+	var bestTime time.Duration
+	for _, domain := range d.domains() {
+		free := d.idle(domain, model)
+		if len(free) < model.Span()+reserve {
+			continue
+		}
+		slowest := d.nodes[free[model.Span()-1]].loadTime(model)
+		if best != nil && slowest >= bestTime {
+			continue
+		}
+		best, bestTime = nil, slowest
+		for _, id := range free[:model.Span()] {
+			best = append(best, member{id, d.nodes[id].born})
+		}
+	}
+	return best
+}
+
+func (d *draft) domains() []string {
+	var domains []string
+	for _, n := range d.nodes {
+		if !slices.Contains(domains, n.domain) {
+			domains = append(domains, n.domain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// freeName returns a name that no replica of the record ever had at the same decision.
+func (d *draft) freeName() string {
+	for i := 1; ; i++ {
+		name := "r" + strconv.FormatUint(d.record.fence+1, 10) + "-" + strconv.Itoa(i)
+		if !slices.ContainsFunc(d.next.groups, func(g group) bool { return g.name == name }) {
+			return name
+		}
+	}
+}
--- /dev/null
+++ b/pkg/replica/record.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/gravitational/trace"
+)
+
+// record is what is decided about replicas; it is kept in the store, and orders follow it.
+type record struct {
+	fence  uint64 // number of the last decision
+	groups []group
+}
+
+// group is one replica as it was decided; its epoch is the number of the decision that last changed its members.
+type group struct {
+	name    string
+	model   string
+	epoch   uint64
+	members []member
+}
+
+// member is one start of one instance.
+type member struct {
+	id   ID
+	born int64
+}
+
+func (g group) ids() []ID {
+	ids := make([]ID, 0, len(g.members))
+	for _, m := range g.members {
+		ids = append(ids, m.id)
+	}
+	return ids
+}
+
+func (r record) clone() record {
+	groups := slices.Clone(r.groups)
+	for i := range groups {
+		groups[i].members = slices.Clone(groups[i].members)
+	}
+	return record{r.fence, groups}
+}
+
+// holds reports whether an instance belongs to a recorded replica.
+func (r record) holds(id ID) bool {
+	return slices.ContainsFunc(r.groups, func(g group) bool {
+		return slices.ContainsFunc(g.members, func(m member) bool { return m.id == id })
+	})
+}
+
+type recordWire struct {
+	Fence  uint64      `json:"fence"`
+	Groups []groupWire `json:"groups"`
+}
+
+type groupWire struct {
+	Name    string       `json:"name"`
+	Model   string       `json:"model"`
+	Epoch   uint64       `json:"epoch"`
+	Members []memberWire `json:"members"`
+}
+
+type memberWire struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"`
+}
+
+func (r record) encode() ([]byte, error) {
+	wire := recordWire{Fence: r.fence, Groups: []groupWire{}}
+	for _, g := range r.groups {
+		one := groupWire{g.name, g.model, g.epoch, nil}
+		for _, m := range g.members {
+			one.Members = append(one.Members, memberWire{string(m.id), m.born})
+		}
+		wire.Groups = append(wire.Groups, one)
+	}
+	data, err := json.Marshal(wire)
+	return data, trace.Wrap(err)
+}
+
+// decodeRecord reads a record; no data stands for an empty one.
+func decodeRecord(data []byte) (record, error) {
+	if len(data) == 0 {
+		return record{}, nil
+	}
+	var wire recordWire
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return record{}, trace.BadParameter("record of replicas: %v", err)
+	}
+	r := record{fence: wire.Fence}
+	for _, one := range wire.Groups {
+		g := group{name: one.Name, model: one.Model, epoch: one.Epoch}
+		for _, m := range one.Members {
+			g.members = append(g.members, member{ID(m.ID), m.Born})
+		}
+		r.groups = append(r.groups, g)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/pkg/replica/state.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/object"
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// State is all that one daemon knows and decides about replicas; the zero value waits for Configure.
+type State struct {
+	settings Settings
+	engine   route.Engine
+	nodes    map[ID]*node
+	heads    map[string][]Head // by model
+	woken    time.Time         // last event
+	arrived  time.Time         // when an instance last came that was not known
+	demand   map[string]float64
+
+	leads  bool
+	record record
+	writer object.Writer
+	refs   object.Refs
+	read   bool // the record was read since this daemon leads
+	claims bool // the record carries this daemon's takeover
+	tokens uint64
+	sent   map[ID]*errand
+	loads  []time.Time
+	drains map[string]time.Time // when a replica began to be closed gently, by name
+
+	effects []Effect
+}
+
+// node is what is known of one instance.
+type node struct {
+	Instance
+	dead    bool // looks are not answered
+	misses  int
+	looked  time.Time // last look that was asked for
+	looking bool
+}
+
+// New returns the state of a daemon that runs by settings.
+func New(settings Settings) State {
+	return State{
+		settings: settings,
+		nodes:    map[ID]*node{},
+		heads:    map[string][]Head{},
+		sent:     map[ID]*errand{},
+		drains:   map[string]time.Time{},
+		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
+			WithBackoff(object.NewBackoff(minBackoff, maxBackoff, settings.seed)),
+	}
+}
+
+// Reduce applies one event that happened at now and returns what has to be carried out, in order.
+func (s *State) Reduce(now time.Time, e Event) []Effect {
+	s.effects = nil
+	s.noticeFreeze(now)
+	switch e := e.(type) {
+	case Configured:
+		s.engine = e.engine
+	case Listed:
+		s.list(now, e)
+	case Looked:
+		s.looked(now, e)
+	case Suspected:
+		s.suspect(now, e.id)
+	case Ordered:
+		s.ordered(now, e)
+	case Resulted:
+		s.resulted(now, e.result)
+	case Led:
+		s.led(e.leads)
+	case Demanded:
+		s.demand = e.work
+	case Ticked:
+		s.lookAgain(now)
+	}
+	s.judge()
+	s.lead(now)
+	return s.effects
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// noticeFreeze makes a leader that stood still read the record again before it orders anything.
+func (s *State) noticeFreeze(now time.Time) {
+	gap := now.Sub(s.woken)
+	s.woken = now
+	if s.leads && gap > frozenGap {
+		s.read, s.claims = false, false
+		s.writer.Forget()
+	}
+}
+
+// list takes over what the platform lists.
+func (s *State) list(now time.Time, e Listed) {
+	listed := map[ID]bool{}
+	for _, i := range e.instances {
+		listed[i.id] = true
+		s.enter(now, i)
+	}
+	for _, id := range e.gone {
+		s.drop(id)
+	}
+	if !e.whole {
+		return
+	}
+	for id := range s.nodes {
+		if !listed[id] {
+			s.drop(id)
+		}
+	}
+}
+
+// enter takes over what an instance says of itself; a later start of it begins without old evidence.
+func (s *State) enter(now time.Time, i Instance) {
+	n := s.nodes[i.id]
+	if n == nil {
+		n = &node{}
+		s.nodes[i.id] = n
+		s.arrived = now
+	}
+	if n.born > i.born {
+		return
+	}
+	if n.born != i.born {
+		*n = node{}
+		delete(s.sent, i.id)
+	}
+	n.Instance = i
+}
+
+func (s *State) drop(id ID) {
+	delete(s.nodes, id)
+	delete(s.sent, id)
+}
+
+// ids returns the instances in the order of their names.
+func (s *State) ids() []ID {
+	ids := make([]ID, 0, len(s.nodes))
+	for id := range s.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// lives reports whether an instance may be counted on.
+func (n *node) lives() bool { return n != nil && !n.dead }
--- /dev/null
+++ b/pkg/replica/suspect.go
@@ -0,0 +1,69 @@
+package replica
+
+import "time"
+
+// The bounds of looks at instances.
+const (
+	missesToDie = 2                      // one lost packet is not a death
+	lookPause   = 150 * time.Millisecond // a look takes at most 250 ms; two misses are known in half a second
+	deadPause   = time.Second            // a dead instance is looked at that often until it answers or is unlisted
+)
+
+// suspect looks at an instance that may be dead.
+func (s *State) suspect(now time.Time, id ID) {
+	n := s.nodes[id]
+	if n == nil || n.dead || n.looking || now.Sub(n.looked) < lookPause {
+		return
+	}
+	s.look(now, id, n)
+}
+
+func (s *State) look(now time.Time, id ID, n *node) {
+	n.looked, n.looking = now, true
+	s.emit(Look{id, n.address})
+}
+
+// looked takes in what a look showed.
+func (s *State) looked(now time.Time, e Looked) {
+	n := s.nodes[e.id]
+	if n == nil {
+		return
+	}
+	n.looking = false
+	if e.answered {
+		s.answered(n, e.instance)
+		return
+	}
+	n.misses++
+	if n.misses < missesToDie {
+		s.look(now, e.id, n)
+		return
+	}
+	if !n.dead {
+		n.dead = true
+		s.emit(Spread{e.id})
+		s.emit(Decided{what: "instance dead", replica: n.member.replica, members: []ID{e.id}, reason: "looks unanswered"})
+	}
+}
+
+// answered takes an instance for alive, and takes over what it says of its place.
+func (s *State) answered(n *node, seen Instance) {
+	if n.born > seen.born {
+		return
+	}
+	isOther := n.born != seen.born
+	n.dead, n.misses = false, 0
+	n.born, n.member, n.loaded, n.staged = seen.born, seen.member, seen.loaded, seen.staged
+	if isOther {
+		delete(s.sent, n.id)
+	}
+}
+
+// lookAgain looks at dead instances now and then, since they may have been out of reach only.
+func (s *State) lookAgain(now time.Time) {
+	for _, id := range s.ids() {
+		if n := s.nodes[id]; n.dead && !n.looking && now.Sub(n.looked) >= deadPause {
+			s.look(now, id, n)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/route/config.go
@@ -0,0 +1,130 @@
+package route
+
+import "time"
+
+// Config is one accepted configuration; the zero value routes nothing.
+type Config struct {
+	revision      uint64
+	routes        []Route
+	services      map[string]Service
+	organisations map[string]Organisation // by API key
+	limits        Limits
+}
+
+// New returns the configuration of that revision.
+func New(revision uint64) Config {
+	return Config{
+		revision:      revision,
+		services:      map[string]Service{},
+		organisations: map[string]Organisation{},
+	}
+}
+
+// WithRoutes returns the configuration with routes added.
+func (c Config) WithRoutes(routes ...Route) Config {
+	c.routes = append(c.routes, routes...)
+	return c
+}
+
+// WithServices returns the configuration with services, which replace all before.
+func (c Config) WithServices(services ...Service) Config {
+	c.services = make(map[string]Service, len(services))
+	for _, s := range services {
+		c.services[s.name] = s
+	}
+	return c
+}
+
+// WithOrganisation returns the configuration with an organisation and the API keys that it holds.
+func (c Config) WithOrganisation(o Organisation, keys ...string) Config {
+	for _, key := range keys {
+		c.organisations[key] = o
+	}
+	return c
+}
+
+// WithLimits returns the configuration with what callers may send.
+func (c Config) WithLimits(limits Limits) Config {
+	c.limits = limits
+	return c
+}
+
+// Revision returns the number of the configuration; a later one has a higher number.
+func (c Config) Revision() uint64 { return c.revision }
+
+// Limits returns what callers may send.
+func (c Config) Limits() Limits { return c.limits }
+
+// Service returns the service called name.
+func (c Config) Service(name string) (Service, bool) {
+	s, isKnown := c.services[name]
+	return s, isKnown
+}
+
+// Services returns all services by name.
+func (c Config) Services() map[string]Service { return c.services }
+
+// Engines returns the first service, by name, that runs models.
+func (c Config) Engines() (Service, bool) {
+	var found Service
+	for _, s := range c.services {
+		if len(s.engine.models) > 0 && (found.name == "" || s.name < found.name) {
+			found = s
+		}
+	}
+	return found, found.name != ""
+}
+
+// Organisation returns who holds an API key; open reports that no key is needed since no organisation is configured.
+func (c Config) Organisation(key string) (o Organisation, isKnown, open bool) {
+	o, isKnown = c.organisations[key]
+	return o, isKnown, len(c.organisations) == 0
+}
+
+// Organisation is a customer whose callers present its API keys.
+type Organisation struct {
+	name     string
+	priority int
+	ranked   bool
+}
+
+// NewOrganisation returns an organisation; ranked tells whether its priority (0 is most urgent) replaces that of routes.
+func NewOrganisation(name string, priority int, ranked bool) Organisation {
+	return Organisation{name, priority, ranked}
+}
+
+// Name returns the name of the organisation.
+func (o Organisation) Name() string { return o.name }
+
+// Priority returns the priority of its requests on a route of that priority.
+func (o Organisation) Priority(ofRoute int) int {
+	if o.ranked {
+		return o.priority
+	}
+	return ofRoute
+}
+
+// Limits bound what callers may send; zero means no limit.
+type Limits struct {
+	header  int
+	body    int64
+	headers time.Duration
+	idle    time.Duration
+}
+
+// NewLimits returns limits of header and body in bytes, of the time that headers may take, and of idle connections.
+func NewLimits(header int, body int64, headers, idle time.Duration) Limits {
+	return Limits{header, body, headers, idle}
+}
+
+// Header returns the largest size of a request's headers in bytes.
+func (l Limits) Header() int { return l.header }
+
+// Body returns the largest size of a request's body in bytes.
+func (l Limits) Body() int64 { return l.body }
+
+// Headers returns the longest time that the headers of a request may take.
+func (l Limits) Headers() time.Duration { return l.headers }
+
+// Idle returns how long a connection may stay idle.
+func (l Limits) Idle() time.Duration { return l.idle }
