--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -77,6 +77,12 @@
 	return d, nil
 }
 
+// Reload puts other settings in force; addresses stay as they are while the process runs.
+func (d *Daemon) Reload(s Settings) {
+	d.log.Line("daemon", "reload", "name", s.Name)
+	d.feed(gateway.NewReloaded(s.Identity))
+}
+
 // Run serves until ctx ends, and then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.cancel()
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -123,6 +123,12 @@
 // NewPeers returns the event that count daemons, this one among them, share the budgets.
 func NewPeers(count int) Peers { return Peers{count} }
 
+// Limited says how often requests may be sent again.
+type Limited struct{ retries Retries }
+
+// NewLimited returns the event that retries bounds how often requests are sent again.
+func NewLimited(retries Retries) Limited { return Limited{retries} }
+
 // Stopping says that this daemon takes no new requests any more.
 type Stopping struct{}
 
@@ -155,6 +161,8 @@
 
 func (Peers) isEvent() {}
 
+func (Limited) isEvent() {}
+
 func (Stopping) isEvent() {}
 
 func (Ticked) isEvent() {}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -80,6 +80,8 @@
 		s.breakOff(now, e.head)
 	case Peers:
 		s.sharers = max(e.count, 1)
+	case Limited:
+		s.settings.retries = e.retries
 	case Stopping:
 		s.stopping = true
 	case Ticked:
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -17,6 +17,12 @@
 // NewBegun returns the event that the daemon starts as identity.
 func NewBegun(identity Identity) Begun { return Begun{identity} }
 
+// Reloaded says that other settings are in force.
+type Reloaded struct{ identity Identity }
+
+// NewReloaded returns the event that the daemon runs as identity from now on; its name, addresses and start stay.
+func NewReloaded(identity Identity) Reloaded { return Reloaded{identity} }
+
 // Decoded says what a Decode effect brought.
 type Decoded struct{ config route.Config }
 
@@ -112,6 +118,8 @@
 
 func (Begun) isEvent() {}
 
+func (Reloaded) isEvent() {}
+
 func (Decoded) isEvent() {}
 
 func (Listed) isEvent() {}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -47,6 +48,8 @@
 	switch e := e.(type) {
 	case Begun:
 		s.begin(now, e.identity)
+	case Reloaded:
+		s.reload(now, e.identity)
 	case Decoded:
 		s.configure(now, e.config)
 	case Listed:
@@ -71,6 +74,8 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
+// begin takes over who this daemon is. Each daemon watches the configuration itself: one that is cut off from its peers
+// but not from the store must know it in time too, and a watch without changes costs a call in ten seconds.
 func (s *State) begin(now time.Time, i Identity) {
 	s.identity = i
 	s.members = newMembers(now, i.name)
@@ -79,9 +84,16 @@
 	s.toPeer(now, peer.NewConfigured(peer.NewSettings(i.name, i.address, i.front, i.centre, i.seed).
 		WithSeeds(i.seeds...).
 		WithBackoff(storeBackoff).
+		WithReaders(math.MaxInt).
 		WithFollows(peer.NewFollow(configDocument, i.config, i.field))))
 }
 
+// reload takes over what may change while the process runs.
+func (s *State) reload(now time.Time, i Identity) {
+	s.identity.linger, s.identity.retries = i.linger, i.retries
+	s.toDispatch(now, dispatch.NewLimited(i.retries))
+}
+
 // storeBackoff is the longest pause before the configuration is read again after the store failed: configurations are
 // in force within two seconds of their acceptance.
 const storeBackoff = time.Second
--- a/pkg/peer/settings.go
+++ b/pkg/peer/settings.go
@@ -11,6 +11,7 @@
 	defaultTick     = 250 * time.Millisecond
 	defaultProbe    = 500 * time.Millisecond
 	defaultWatchers = 3
+	defaultReaders  = 2
 	defaultReread   = 5 * time.Minute
 )
 
@@ -28,6 +29,7 @@
 	watchers int
 	reread   time.Duration
 	backoff  time.Duration
+	readers  int
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; it listens for peers on address and for
@@ -80,6 +82,20 @@
 	return s
 }
 
+// WithReaders returns the settings with the number of daemons in each data centre that watch a document in the store.
+func (s Settings) WithReaders(count int) Settings {
+	s.readers = count
+	return s
+}
+
+// Readers returns the number of daemons in each data centre that watch a document in the store.
+func (s Settings) Readers() int {
+	if s.readers > 0 {
+		return s.readers
+	}
+	return defaultReaders
+}
+
 // Backoff returns the longest wait before the store is asked again after it failed.
 func (s Settings) Backoff() time.Duration { return orDuration(s.backoff, maxBackoff) }
 
--- a/pkg/peer/store.go
+++ b/pkg/peer/store.go
@@ -14,9 +14,6 @@
 	maxBackoff = time.Minute
 )
 
-// watchersPerCentre is the number of daemons in each data centre that hold a watch of one document in the store.
-const watchersPerCentre = 2
-
 // answerTime is the time after which a read without any result counts as failed.
 const answerTime = 5 * time.Second
 
@@ -95,7 +92,13 @@
 // Reads reports whether this daemon is among those of its data centre that bring the document called name from the
 // platform to the others.
 func (s *State) Reads(now time.Time, name string) bool {
-	if !s.configured || !s.warm(now) {
+	if !s.configured {
+		return false
+	}
+	if s.settings.Readers() >= maxMembers {
+		return true
+	}
+	if !s.warm(now) {
 		return false
 	}
 	var near []*member
@@ -111,7 +114,7 @@
 		}
 		return 1
 	})
-	return slices.Contains(near[:min(watchersPerCentre, len(near))], s.self)
+	return slices.Contains(near[:min(s.settings.Readers(), len(near))], s.self)
 }
 
 // resulted takes the answer of the store.
