replica: Let demand decide which model gets the instances

Ruled out: admission (no refusals of the small model) and the time to find out (0.75 s after a crash). Change: replicas are formed by the pressure of demand; a broken large replica takes its members from small ones of its domain, whose hosts keep the large model staged; a conversion brings one more over if the pressure differs by 1.3. Looks wait 120 ms, not 250.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -13,7 +13,7 @@
 
 // The timeouts of calls to engines that are not requests.
 const (
-	lookTimeout  = 250 * time.Millisecond // a hundred round trips; two lost looks are a death
+	lookTimeout  = 120 * time.Millisecond // fifty round trips; two lost looks are a death
 	orderTimeout = 500 * time.Millisecond
 )
 
--- a/pkg/replica/lead.go
+++ b/pkg/replica/lead.go
@@ -12,7 +12,7 @@
 		return
 	}
 	s.leads, s.read, s.claims = leads, false, false
-	s.sent = map[ID]*errand{}
+	s.sent = map[ID]map[Verb]*errand{}
 	if leads {
 		s.writer.Forget()
 	}
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -16,7 +16,7 @@
 // tokenBits is the place that fencing numbers keep for the orders of one decision.
 const tokenBits = 20
 
-// errand is the last order to one instance.
+// errand is the last order of one verb to one instance.
 type errand struct {
 	order   Order
 	at      time.Time
@@ -34,6 +34,7 @@
 	s.closeStrays(now)
 	if now.Sub(s.arrived) >= settleTime {
 		s.stage(now)
+		s.stageMembers(now)
 	}
 }
 
@@ -154,10 +155,17 @@
 	return false
 }
 
-// isUnderway reports whether the same order has been given and its effect may still show.
+// isUnderway reports whether an order must wait: any other one to the instance is not answered yet, since orders on two
+// connections may arrive the other way round, or the same one was answered and its effect may still show.
 func (s *State) isUnderway(now time.Time, n *node, o Order) bool {
-	last := s.sent[n.id]
-	return last != nil && last.isAbout(o) && (last.pending || !s.isOverdue(now, n, last))
+	given := s.sent[n.id]
+	for _, e := range given {
+		if e.pending {
+			return true
+		}
+	}
+	last := given[o.verb]
+	return last != nil && last.isAbout(o) && !s.isOverdue(now, n, last)
 }
 
 // send gives an order whose effect takes that long, unless it is under way.
@@ -168,7 +176,10 @@
 	s.tokens++
 	o.id, o.address = n.id, n.address
 	o.token = s.record.fence<<tokenBits | s.tokens
-	s.sent[n.id] = &errand{order: o, at: now, pending: true, due: now.Add(takes + orderSlack)}
+	if s.sent[n.id] == nil {
+		s.sent[n.id] = map[Verb]*errand{}
+	}
+	s.sent[n.id][o.verb] = &errand{order: o, at: now, pending: true, due: now.Add(takes + orderSlack)}
 	s.emit(o)
 }
 
@@ -192,7 +203,7 @@
 
 // ordered takes in how an order was answered.
 func (s *State) ordered(now time.Time, e Ordered) {
-	last := s.sent[e.order.id]
+	last := s.sent[e.order.id][e.order.verb]
 	if last == nil || last.order.token != e.order.token {
 		return
 	}
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -96,15 +96,20 @@
 	return left
 }
 
-// repair gives a broken replica new members from the fabric domain of its survivors, or gives it up.
+// repair gives a broken replica new members from the fabric domain of its survivors, or gives it up. If no instance is
+// idle there, a replica of a model that needs it less is taken apart.
 func (d *draft) repair(g group) {
 	members := d.survivors(g)
 	if len(members) == 0 {
 		return
 	}
 	model, _ := d.engine.Model(g.model)
+	domain := d.nodes[members[0].id].domain
 	missing := model.Span() - len(members)
-	spares := d.idle(d.nodes[members[0].id].domain, model)
+	spares := d.idle(domain, model)
+	if len(spares) < missing && d.dissolve(domain, model, missing-len(spares), repairMargin) {
+		spares = d.idle(domain, model)
+	}
 	if len(spares) < missing {
 		d.release(members)
 		return
@@ -145,7 +150,7 @@
 // loadTime returns how long the instance takes to join a replica of model.
 func (n *node) loadTime(model route.Model) time.Duration {
 	switch {
-	case n.loaded == model.Name():
+	case n.last == model.Name():
 		return rejoin
 	case n.hasStaged(model.Name()):
 		return model.Warm()
@@ -153,11 +158,12 @@
 	return model.Load()
 }
 
-// form makes new replicas of idle instances: of the model that has the smallest part of what it should have, in the domain
-// where they load fastest.
+// form makes new replicas of idle instances, first of the model under the highest pressure, in the domain where they load
+// fastest.
 func (d *draft) form() {
 	for d.formOne() {
 	}
+	d.convert()
 }
 
 func (d *draft) formOne() bool {
@@ -170,28 +176,6 @@
 	return false
 }
 
-// neediest returns the models in the order of how little they have of their share of the instances.
-func (d *draft) neediest() []route.Model {
-	held := map[string]int{}
-	for _, g := range d.next.groups {
-		held[g.model] += len(g.members)
-	}
-	part := func(m route.Model) float64 {
-		return float64(held[m.Name()]+m.Span()) / max(d.share(m), 1e-6)
-	}
-	models := slices.Clone(d.engine.Models())
-	slices.SortStableFunc(models, func(a, b route.Model) int {
-		if part(a) < part(b) {
-			return -1
-		}
-		return 1
-	})
-	return models
-}
-
-// share returns the part of all instances that model should have.
-func (d *draft) share(model route.Model) float64 { return model.Share() }
-
 // cheapest returns the idle instances of one domain that form a replica of model soonest, nil if there are too few.
 func (d *draft) cheapest(model route.Model) []member {
 	var best []member
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -23,6 +23,36 @@
 	return true
 }
 
+// largest returns the model with the largest span: its replicas lose members most often and are the hardest to fill.
+func (s *State) largest() route.Model {
+	best := s.engine.Models()[0]
+	for _, m := range s.engine.Models()[1:] {
+		if m.Span() > best.Span() {
+			best = m
+		}
+	}
+	return best
+}
+
+// stageMembers loads the largest model onto the hosts of members of other replicas, so that they can fill one of its
+// replicas within seconds. It runs beside their work.
+func (s *State) stageMembers(now time.Time) {
+	model := s.largest()
+	for _, g := range s.record.groups {
+		if g.model == model.Name() {
+			continue
+		}
+		for _, m := range g.members {
+			n := s.nodes[m.id]
+			o := Order{verb: Stage, model: model.Name()}
+			if n.lives() && n.member.isOf(g.name, g.epoch) && n.member.phase != Joining && !n.hasStaged(model.Name()) &&
+				n.last != model.Name() && !s.isUnderway(now, n, o) && s.mayLoad(now) {
+				s.send(now, n, o, model.Load())
+			}
+		}
+	}
+}
+
 // stage loads models onto the hosts of idle instances, so that a repair need not wait for the weight store.
 func (s *State) stage(now time.Time) {
 	staged := map[string]map[string]int{}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -10,13 +10,14 @@
 
 // State is all that one daemon knows and decides about replicas; the zero value waits for Configure.
 type State struct {
-	settings Settings
-	engine   route.Engine
-	nodes    map[ID]*node
-	heads    map[string][]Head // by model
-	woken    time.Time         // last event
-	arrived  time.Time         // when an instance last came that was not known
-	demand   map[string]float64
+	settings  Settings
+	engine    route.Engine
+	nodes     map[ID]*node
+	heads     map[string][]Head  // by model
+	woken     time.Time          // last event
+	arrived   time.Time          // when an instance last came that was not known
+	demand    map[string]float64 // replicas that each model keeps busy, nil before any call came
+	converted time.Time          // when instances last changed sides
 
 	leads  bool
 	record record
@@ -25,7 +26,7 @@
 	read   bool // the record was read since this daemon leads
 	claims bool // the record carries this daemon's takeover
 	tokens uint64
-	sent   map[ID]*errand
+	sent   map[ID]map[Verb]*errand
 	loads  []time.Time
 	drains map[string]time.Time // when a replica began to be closed gently, by name
 
@@ -35,7 +36,8 @@
 // node is what is known of one instance.
 type node struct {
 	Instance
-	dead    bool // looks are not answered
+	last    string // model of the last replica since this start
+	dead    bool   // looks are not answered
 	misses  int
 	looked  time.Time // last look that was asked for
 	looking bool
@@ -47,7 +49,7 @@
 		settings: settings,
 		nodes:    map[ID]*node{},
 		heads:    map[string][]Head{},
-		sent:     map[ID]*errand{},
+		sent:     map[ID]map[Verb]*errand{},
 		drains:   map[string]time.Time{},
 		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
 			WithBackoff(object.NewBackoff(minBackoff, maxBackoff, settings.seed)),
@@ -74,7 +76,7 @@
 	case Led:
 		s.led(e.leads)
 	case Demanded:
-		s.demand = e.work
+		s.demanded(e.work)
 	case Ticked:
 		s.lookAgain(now)
 	}
@@ -131,6 +133,7 @@
 		delete(s.sent, i.id)
 	}
 	n.Instance = i
+	n.remember()
 }
 
 func (s *State) drop(id ID) {
@@ -148,5 +151,12 @@
 	return ids
 }
 
+// remember keeps the model of the last replica, which joins again at once.
+func (n *node) remember() {
+	if n.member.phase != None && n.member.phase != Joining && n.loaded != "" {
+		n.last = n.loaded
+	}
+}
+
 // lives reports whether an instance may be counted on.
 func (n *node) lives() bool { return n != nil && !n.dead }
--- a/pkg/replica/suspect.go
+++ b/pkg/replica/suspect.go
@@ -54,7 +54,9 @@
 	isOther := n.born != seen.born
 	n.dead, n.misses = false, 0
 	n.born, n.member, n.loaded, n.staged = seen.born, seen.member, seen.loaded, seen.staged
+	n.remember()
 	if isOther {
+		n.last = ""
 		delete(s.sent, n.id)
 	}
 }
