gateway: Let three daemons read the list of upstreams and tell the others

Change: three daemons read the list and tell the others what changed by letters (a section of the peers' messages); one that hears of no reader reads itself; the oldest daemon that reaches the store leads; an outage of the store is told at once instead of being inferred from silence; the leader's word for a death is taken without a look; orders wait 200 ms, not 500; calls that can be on time go before those that cannot.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -49,6 +49,7 @@
 	work      context.Context
 	cancel    context.CancelFunc
 	refuse    chan struct{}
+	unfollow  context.CancelFunc // ends reading the list of upstreams, nil while it is not read
 	stopped   chan struct{}
 
 	mutex    sync.Mutex
@@ -97,10 +98,6 @@
 	group.Go(func() error { return d.hub.Run(serving, listeners[peersAt]) })
 	group.Go(func() error { return d.tick(serving) })
 	group.Go(func() error { return d.sweep(serving) })
-	group.Go(func() error {
-		d.adapter.Store.Follow(serving, d.feed)
-		return nil
-	})
 	d.serve(serving, group, d.callerServer(), listeners[callersAt])
 	d.serve(serving, group, &http.Server{Handler: d.adapter.Entry.Ready(d.ready.Load)}, listeners[checksAt])
 	d.serve(serving, group, &http.Server{Handler: d.adapter.Entry.Addresses(d.told)}, listeners[answersAt])
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -14,7 +14,7 @@
 // The timeouts of calls to engines that are not requests.
 const (
 	lookTimeout  = 120 * time.Millisecond // fifty round trips; two lost looks are a death
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 200 * time.Millisecond // as long as the quickest order takes to be carried out
 )
 
 // execute carries out one effect; what takes time runs beside the reducer and comes back as an event.
@@ -35,6 +35,10 @@
 		close(d.refuse)
 	case gateway.Stopped:
 		close(d.stopped)
+	case gateway.Follow:
+		d.follow(effect.On())
+	case gateway.Problem:
+		d.log.Line("daemon", effect.What(), "reason", effect.Reason())
 	case gateway.Led:
 		d.log.Line("replica", "leader", "leader", effect.Leader(), "self", effect.Leads())
 	case gateway.ToPeer:
@@ -46,6 +50,20 @@
 	}
 }
 
+// follow begins or ends reading the platform's list of upstreams.
+func (d *Daemon) follow(on bool) {
+	d.log.Line("daemon", "reading the list of upstreams", "on", on)
+	if d.unfollow != nil {
+		d.unfollow()
+		d.unfollow = nil
+	}
+	if on {
+		ctx, cancel := context.WithCancel(d.work)
+		d.unfollow = cancel
+		go d.adapter.Store.Follow(ctx, d.feed)
+	}
+}
+
 // store makes one call to the object API.
 func (d *Daemon) store(effect gateway.Store) {
 	deliver := func(result object.Result) { d.feed(gateway.NewResulted(effect.Part(), result)) }
--- a/pkg/dispatch/burst.go
+++ b/pkg/dispatch/burst.go
@@ -108,6 +108,9 @@
 			}
 			return 1
 		}
+		if late := s.lateness(now, a) - s.lateness(now, b); late != 0 {
+			return late
+		}
 		if a.priority != b.priority {
 			return a.priority - b.priority
 		}
@@ -131,6 +134,14 @@
 	}
 }
 
+// lateness returns 1 for a call that can only be late, which gives way to those that can be on time, else 0.
+func (s *State) lateness(now time.Time, c *call) int {
+	if now.Sub(c.arrived) > time.Duration(waitOfGoal*float64(c.route.Goal())) {
+		return 1
+	}
+	return 0
+}
+
 // again returns when a refused caller should come back: when those that wait now have been served, spread so that
 // refused callers don't return together.
 func (s *State) again(now time.Time, c *call) time.Duration {
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -64,6 +64,21 @@
 // Leader returns the daemon that does, empty for none.
 func (l Led) Leader() string { return l.leader }
 
+// Follow says whether this daemon reads the platform's list of upstreams from now on.
+type Follow struct{ on bool }
+
+// On reports whether it does.
+func (f Follow) On() bool { return f.on }
+
+// Problem is an error that is passed over, for the log.
+type Problem struct{ what, reason string }
+
+// What returns what went wrong.
+func (p Problem) What() string { return p.what }
+
+// Reason returns why.
+func (p Problem) Reason() string { return p.reason }
+
 // ToPeer is an effect towards peers: peer.Send or Reset.
 type ToPeer struct{ effect peer.Effect }
 
@@ -96,6 +111,10 @@
 
 func (Led) isEffect() {}
 
+func (Follow) isEffect() {}
+
+func (Problem) isEffect() {}
+
 func (ToPeer) isEffect() {}
 
 func (ToReplica) isEffect() {}
--- a/pkg/gateway/hand.go
+++ b/pkg/gateway/hand.go
@@ -30,6 +30,10 @@
 		}
 	case peer.Learn:
 		s.learn(now, effect)
+	case peer.Told:
+		if effect.Topic() == listTopic {
+			s.takeLetter(now, effect)
+		}
 	case peer.Members:
 		s.members.live = effect.Members()
 	case peer.Send, peer.Reset:
@@ -40,11 +44,26 @@
 // learn takes in a soft fact of a peer.
 func (s *State) learn(now time.Time, fact peer.Learn) {
 	switch fact.Topic() {
-	case storeTopic:
-		s.members.store[fact.Origin()] = fact.Expiry()
+	case outageTopic:
+		s.members.outage[fact.Origin()] = fact.Expiry()
+		if len(fact.Value()) == 0 {
+			delete(s.members.outage, fact.Origin())
+		}
+		s.members.checked = time.Time{}
 	case deadTopic:
-		s.toReplica(now, replica.NewSuspected(replica.ID(fact.Key())))
+		s.hearDeath(now, fact)
+	}
+}
+
+// hearDeath takes the leader's word for the death of an instance, and looks at it on the word of others.
+func (s *State) hearDeath(now time.Time, fact peer.Learn) {
+	id := replica.ID(fact.Key())
+	if fact.Origin() != s.members.leader {
+		s.toReplica(now, replica.NewSuspected(id))
+		return
 	}
+	s.toReplica(now, replica.NewBuried(id))
+	s.breakReplica(now, id)
 }
 
 func (s *State) toReplica(now time.Time, e replica.Event) {
@@ -69,6 +88,11 @@
 // spreadDeath tells peers and the requests at its replica that an instance does not answer.
 func (s *State) spreadDeath(now time.Time, id replica.ID) {
 	s.toPeer(now, peer.NewShared(deadTopic, string(id), []byte{1}, now.Add(deadFact)))
+	s.breakReplica(now, id)
+}
+
+// breakReplica ends the work at the replica of an instance.
+func (s *State) breakReplica(now time.Time, id replica.ID) {
 	if head, isMember := s.replica.HeadOf(id); isMember {
 		s.toDispatch(now, dispatch.NewBroke(string(head)))
 	}
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,64 +12,121 @@
 
 // The topics of soft facts among the daemons.
 const (
-	storeTopic = "store" // the origin reaches the store
-	deadTopic  = "dead"  // an instance does not answer the origin
+	outageTopic = "outage" // the origin does not reach the store
+	deadTopic   = "dead"   // an instance does not answer the origin
 )
 
 // The times of soft facts and of the choice of a leader.
 const (
-	storeFact   = 2500 * time.Millisecond // two of three tellings may be lost
-	storeTell   = 800 * time.Millisecond
+	outageFact  = 3 * time.Second // told again while the outage lasts
+	outageTell  = time.Second
 	deadFact    = 5 * time.Second         // the list names a dead instance for three heartbeats
 	beatSlack   = 2500 * time.Millisecond // a beat passes one daemon in each gossip interval
+	beatsMissed = 3                       // in a large fleet beats come less often
 	leadAfter   = 1500 * time.Millisecond // peers meet within a second of their start
+	youngFact   = 2 * time.Second         // a daemon that has just started does not lead yet
+	leadStable  = 400 * time.Millisecond  // views of the fleet differ for a gossip interval or two
 	sharersKept = 15 * time.Second        // one and a half windows of the retry budget
 )
 
-// members are the other daemons as far as they matter for leading and for the addresses that callers are told.
+// members are the other daemons as far as they matter for leading, reading the list, and the addresses that callers are
+// told.
 type members struct {
-	self    string
-	began   time.Time
-	live    []peer.Member
-	cut     map[string]bool      // the link broke and nothing came since
-	store   map[string]time.Time // until when a peer is known to reach the store
-	told    time.Time
-	checked time.Time
-	leader  string
-	counts  map[string]time.Time // when a member was last live
-	sharers int
+	self     string
+	began    time.Time
+	live     []peer.Member
+	cut      map[string]bool      // the link broke and nothing came since
+	outage   map[string]time.Time // until when a peer is known not to reach the store
+	told     time.Time
+	checked  time.Time
+	first    string    // who is to lead
+	since    time.Time // for how long
+	leader   string
+	readers  []string // the others that read the list
+	isReader bool
+	counts   map[string]time.Time // when a member was last live
+	sharers  int
 }
 
 func newMembers(now time.Time, self string) members {
 	return members{
-		self: self, began: now, cut: map[string]bool{}, store: map[string]time.Time{}, counts: map[string]time.Time{},
+		self: self, began: now, cut: map[string]bool{}, outage: map[string]time.Time{}, counts: map[string]time.Time{},
 	}
 }
 
-// refreshMembers tells peers whether the store is within reach, and finds out who leads and who takes callers.
+// refreshMembers finds out who leads, who reads the list and who takes callers.
 func (s *State) refreshMembers(now time.Time) {
 	m := &s.members
 	if now.Sub(m.checked) < memberPeriod {
 		return
 	}
 	m.checked = now
-	if s.reachesStore() && now.Sub(m.told) >= storeTell {
-		m.told = now
-		s.toPeer(now, peer.NewShared(storeTopic, "", []byte{1}, now.Add(storeFact)))
+	if s.spread.follows && s.listing.broken && now.Sub(m.told) >= outageTell {
+		s.tellOutage(now, true)
 	}
 	fresh := s.freshMembers(now)
-	s.chooseLeader(now, fresh)
+	ranking := s.rank(now, fresh)
+	s.chooseReaders(ranking)
+	s.chooseLeader(now, ranking)
 	s.advertise(fresh)
 	s.countSharers(now, fresh)
 }
 
-func (s *State) reachesStore() bool { return s.listing.known && !s.listing.broken }
+// tellOutage tells peers that this daemon does not reach the store, or that it does again.
+func (s *State) tellOutage(now time.Time, isOut bool) {
+	s.members.told = now
+	value := []byte{}
+	if isOut {
+		value = []byte{1}
+	}
+	s.toPeer(now, peer.NewShared(outageTopic, "", value, now.Add(outageFact)))
+}
+
+// rank returns the daemons that reach the store as far as is known, in an order that all daemons agree on: the oldest
+// first, so that one that starts again takes nothing over from one that works.
+func (s *State) rank(now time.Time, fresh []peer.Member) []string {
+	var able []peer.Member
+	if s.stopping.IsZero() && !(s.spread.follows && s.listing.broken) && now.Sub(s.members.began) >= leadAfter {
+		able = append(able, s.ownMember()...)
+	}
+	for _, one := range fresh {
+		if !one.Leaving() && !now.Before(s.members.outage[one.Name()]) {
+			able = append(able, one)
+		}
+	}
+	slices.SortFunc(able, func(a, b peer.Member) int {
+		return cmp.Or(cmp.Compare(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Name(), b.Name()))
+	})
+	names := make([]string, 0, len(able))
+	for _, one := range able {
+		names = append(names, one.Name())
+	}
+	return names
+}
+
+// ownMember returns this daemon as its peers see it.
+func (s *State) ownMember() []peer.Member {
+	for _, one := range s.members.live {
+		if one.Name() == s.members.self {
+			return []peer.Member{one}
+		}
+	}
+	return nil
+}
+
+// chooseReaders makes the first daemons read the platform's list of upstreams.
+func (s *State) chooseReaders(ranking []string) {
+	m := &s.members
+	first := ranking[:min(readers, len(ranking))]
+	m.isReader = slices.Contains(first, m.self)
+	m.readers = slices.DeleteFunc(slices.Clone(first), func(name string) bool { return name == m.self })
+}
 
 // freshMembers returns the other live members that were heard of lately.
 func (s *State) freshMembers(now time.Time) []peer.Member {
 	late := map[string]bool{}
 	for _, lag := range s.peer.Lag(now) {
-		late[lag.Name()] = lag.Age() > beatSlack
+		late[lag.Name()] = lag.Age() > max(beatSlack, beatsMissed*s.peer.BeatInterval())
 	}
 	var fresh []peer.Member
 	for _, one := range s.members.live {
@@ -79,27 +137,22 @@
 	return fresh
 }
 
-// chooseLeader makes the first daemon by name lead that reaches the store; the conditional write of the record keeps it
-// safe if several think so.
-func (s *State) chooseLeader(now time.Time, fresh []peer.Member) {
-	leader := ""
-	if s.reachesStore() && s.stopping.IsZero() && now.Sub(s.members.began) >= leadAfter {
-		leader = s.members.self
+// chooseLeader makes the first daemon lead; the conditional write of the record keeps it safe if several think so.
+func (s *State) chooseLeader(now time.Time, ranking []string) {
+	m := &s.members
+	first := ""
+	if len(ranking) > 0 {
+		first = ranking[0]
 	}
-	for _, one := range fresh {
-		if one.Leaving() || !now.Before(s.members.store[one.Name()]) {
-			continue
-		}
-		if leader == "" || one.Name() < leader {
-			leader = one.Name()
-		}
+	if first != m.first {
+		m.first, m.since = first, now
 	}
-	if leader == s.members.leader {
+	if first == m.leader || first == m.self && (now.Sub(m.since) < leadStable || !s.listing.known) {
 		return
 	}
-	s.members.leader = leader
-	leads := leader == s.members.self
-	s.emit(Led{leads, leader})
+	m.leader = first
+	leads := first == m.self
+	s.emit(Led{leads, first})
 	s.toReplica(now, replica.NewLed(leads))
 }
 
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -31,6 +32,8 @@
 	engines  string // the service whose instances form replicas
 	listing  listing
 	members  members
+	spread   spread
+	random   *rand.Rand
 
 	addresses []string
 	ready     bool
@@ -55,7 +58,7 @@
 	case Listed:
 		s.list(now, e)
 	case Unlisted:
-		s.listing.broken = true
+		s.unlist(now)
 	case Resulted:
 		s.result(now, e)
 	case Stopping:
@@ -79,6 +82,8 @@
 func (s *State) begin(now time.Time, i Identity) {
 	s.identity = i
 	s.members = newMembers(now, i.name)
+	s.spread = newSpread(now)
+	s.random = rand.New(rand.NewPCG(i.seed, gatewaySeed))
 	s.replica = replica.New(replica.NewSettings(i.record, i.name+"/"+i.start, i.seed).WithFirst(i.first))
 	s.dispatch = dispatch.New(dispatch.NewSettings(i.seed, i.retries))
 	s.toPeer(now, peer.NewConfigured(peer.NewSettings(i.name, i.address, i.front, i.centre, i.seed).
@@ -86,6 +91,7 @@
 		WithBackoff(storeBackoff).
 		WithReaders(math.MaxInt).
 		WithFollows(peer.NewFollow(configDocument, i.config, i.field))))
+	s.toPeer(now, peer.NewShared(outageTopic, "", []byte{1}, now.Add(youngFact)))
 }
 
 // reload takes over what may change while the process runs.
@@ -94,6 +100,9 @@
 	s.toDispatch(now, dispatch.NewLimited(i.retries))
 }
 
+// gatewaySeed tells the draws of this part from those of others.
+const gatewaySeed = 13
+
 // storeBackoff is the longest pause before the configuration is read again after the store failed: configurations are
 // in force within two seconds of their acceptance.
 const storeBackoff = time.Second
@@ -142,12 +151,27 @@
 
 // list takes over what the platform lists.
 func (s *State) list(now time.Time, e Listed) {
+	if !s.spread.follows {
+		return // what was under way when another daemon took over reading
+	}
+	if s.listing.broken {
+		s.tellOutage(now, false)
+	}
 	changed, gone := s.listing.take(now, e)
 	s.relist(now, changed, gone)
 	s.refreshReady()
 }
 
+// unlist takes in that the list can't be read.
+func (s *State) unlist(now time.Time) {
+	if s.spread.follows && !s.listing.broken {
+		s.listing.broken = true
+		s.tellOutage(now, true)
+	}
+}
+
 func (s *State) relist(now time.Time, changed []Upstream, gone []replica.ID) {
+	s.spread.note(changed, gone)
 	var engines []replica.Instance
 	for _, u := range changed {
 		if u.service == s.engines {
@@ -167,6 +191,7 @@
 		s.relist(now, nil, gone)
 	}
 	s.refreshMembers(now)
+	s.refreshSpread(now)
 	if now.Sub(s.weighed) >= demandPeriod {
 		s.weigh(now)
 	}
--- a/pkg/peer/decode.go
+++ b/pkg/peer/decode.go
@@ -184,6 +184,8 @@
 		m.documents = r.documents()
 	case sectionWants:
 		m.wants = r.wants()
+	case sectionLetters:
+		m.letters = r.letters()
 	default:
 		r.refuse("unknown section %d", key)
 	}
@@ -294,6 +296,18 @@
 	return statements
 }
 
+func (r *reader) letters() []letter {
+	var letters []letter
+	for range r.length(maxItems) {
+		r.shape(2)
+		letters = append(letters, letter{topic: r.text(), data: r.raw(maxBytes)})
+		if r.err != nil {
+			return nil
+		}
+	}
+	return letters
+}
+
 func (r *reader) facts() []fact {
 	var facts []fact
 	for range r.length(maxItems) {
--- a/pkg/peer/effect.go
+++ b/pkg/peer/effect.go
@@ -67,6 +67,21 @@
 // Expiry returns the time, by this daemon's clock, after which the fact is void.
 func (l Learn) Expiry() time.Time { return l.expiry }
 
+// Told says that a peer told this daemon something.
+type Told struct {
+	from, topic string
+	data        []byte
+}
+
+// From returns the name of the peer.
+func (t Told) From() string { return t.from }
+
+// Topic returns what it is about.
+func (t Told) Topic() string { return t.topic }
+
+// Data returns what was told.
+func (t Told) Data() []byte { return t.data }
+
 // Members says that the live members are other ones than before, or one of them began to leave.
 type Members struct{ members []Member }
 
@@ -92,6 +107,8 @@
 
 func (Learn) isEffect() {}
 
+func (Told) isEffect() {}
+
 func (Members) isEffect() {}
 
 func (Store) isEffect() {}
--- a/pkg/peer/encode.go
+++ b/pkg/peer/encode.go
@@ -42,6 +42,7 @@
 	sectionRevisions
 	sectionDocuments
 	sectionWants
+	sectionLetters
 )
 
 // Encode returns the msgpack form of a message; it fails if the message is larger than MaxMessage.
@@ -115,6 +116,7 @@
 	if !m.wants.isEmpty() {
 		all = append(all, section{sectionWants, 1, func() { w.wants(m.wants) }})
 	}
+	all = append(all, section{sectionLetters, len(m.letters), func() { w.letters(m.letters) }})
 	count := 0
 	for _, s := range all {
 		if s.size > 0 {
@@ -130,6 +132,15 @@
 	}
 }
 
+func (w *writer) letters(letters []letter) {
+	w.list(len(letters))
+	for _, l := range letters {
+		w.list(2)
+		w.text(l.topic)
+		w.bytes(l.data)
+	}
+}
+
 func (w *writer) cards(cards []card) {
 	w.list(len(cards))
 	for _, c := range cards {
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -80,6 +80,15 @@
 	return Shared{topic, key, value, expiry}
 }
 
+// Tell asks for something to be told to one peer alone.
+type Tell struct {
+	name, topic string
+	data        []byte
+}
+
+// NewTell returns the event that data is to be told to the peer called name; it is lost if the peer is out of reach.
+func NewTell(name, topic string, data []byte) Tell { return Tell{name, topic, data} }
+
 // Leaving says that this daemon is about to stop and takes no new callers.
 type Leaving struct{}
 
@@ -120,6 +129,8 @@
 
 func (Shared) isEvent() {}
 
+func (Tell) isEvent() {}
+
 func (Leaving) isEvent() {}
 
 func (Returning) isEvent() {}
--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -59,6 +59,9 @@
 }
 
 // beatInterval returns the time between two beats of one daemon.
+// BeatInterval returns the interval between two beats of one daemon.
+func (s *State) BeatInterval() time.Duration { return s.beatInterval() }
+
 func (s *State) beatInterval() time.Duration {
 	return min(max(minBeat, time.Duration(len(s.roster))*beatPerMember), maxBeat)
 }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -22,6 +22,7 @@
 	revisions   []revision
 	documents   []Document
 	wants       wants
+	letters     []letter
 }
 
 // From returns the name that the sender gives itself.
@@ -97,6 +98,12 @@
 	lifetime time.Duration
 }
 
+// letter is what another part of the sender tells the same part of the receiver alone.
+type letter struct {
+	topic string
+	data  []byte
+}
+
 // revision says which revision of a document the sender holds.
 type revision struct {
 	name   string
@@ -119,5 +126,5 @@
 func (m Message) isEmpty() bool {
 	return len(m.cards) == 0 && len(m.beats) == 0 && len(m.changes) == 0 &&
 		len(m.statements) == 0 && len(m.facts) == 0 && len(m.revisions) == 0 && len(m.documents) == 0 &&
-		m.wants.isEmpty()
+		m.wants.isEmpty() && len(m.letters) == 0
 }
--- a/pkg/peer/receive.go
+++ b/pkg/peer/receive.go
@@ -134,6 +134,9 @@
 	for _, f := range m.facts {
 		s.acceptFact(now, delay, f)
 	}
+	for _, l := range m.letters {
+		s.emit(Told{m.from, l.topic, l.data})
+	}
 }
 
 // answer sends what the peer asked for, and the revisions held here when the peer holds others.
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -120,6 +120,8 @@
 		s.publish(e.document)
 	case Shared:
 		s.share(now, e)
+	case Tell:
+		s.tell(now, e)
 	case Leaving:
 		s.leave(now, true)
 	case Returning:
@@ -206,6 +208,13 @@
 	s.meetLost(now)
 }
 
+// tell sends something to one peer.
+func (s *State) tell(now time.Time, e Tell) {
+	if m := s.members[s.names[e.name]]; m != nil {
+		s.sendTo(now, m.name, m.address, Message{letters: []letter{{e.topic, e.data}}})
+	}
+}
+
 // leave tells peers whether this daemon is about to stop.
 func (s *State) leave(now time.Time, leaving bool) {
 	if s.self.leaving == leaving {
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -5,7 +5,7 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// Event is something that the formation of replicas reacts to: Configured, Listed, Looked, Suspected, Ordered, Resulted,
+// Event is something that the formation of replicas reacts to: Configured, Listed, Looked, Suspected, Buried, Ordered, Resulted,
 // Led, Demanded or Ticked.
 type Event interface{ isEvent() }
 
@@ -47,6 +47,12 @@
 // NewSuspected returns the event that the instance called id may be dead.
 func NewSuspected(id ID) Suspected { return Suspected{id} }
 
+// Buried says that the leader found an instance dead.
+type Buried struct{ id ID }
+
+// NewBuried returns the event that the leader found the instance called id dead.
+func NewBuried(id ID) Buried { return Buried{id} }
+
 // Reply is how an instance answered an order.
 type Reply uint8
 
@@ -106,6 +112,8 @@
 
 func (Suspected) isEvent() {}
 
+func (Buried) isEvent() {}
+
 func (Ordered) isEvent() {}
 
 func (Resulted) isEvent() {}
--- a/pkg/replica/instance.go
+++ b/pkg/replica/instance.go
@@ -101,3 +101,27 @@
 	}
 	return false
 }
+
+// Domain returns the fabric domain.
+func (i Instance) Domain() string { return i.domain }
+
+// Born returns what tells this start of the instance from others; a later start has a higher number.
+func (i Instance) Born() int64 { return i.born }
+
+// Loaded returns the model in memory, empty for none.
+func (i Instance) Loaded() string { return i.loaded }
+
+// Staged returns the models staged on the host.
+func (i Instance) Staged() []string { return i.staged }
+
+// Replica returns the replica, empty for none.
+func (m Membership) Replica() string { return m.replica }
+
+// Epoch returns the decision by which the replica was formed.
+func (m Membership) Epoch() uint64 { return m.epoch }
+
+// Rank returns the place among the members; 0 is the head.
+func (m Membership) Rank() int { return m.rank }
+
+// Phase returns how far the member is.
+func (m Membership) Phase() Phase { return m.phase }
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -71,6 +71,10 @@
 		s.looked(now, e)
 	case Suspected:
 		s.suspect(now, e.id)
+	case Buried:
+		if n := s.nodes[e.id]; n != nil {
+			n.dead, n.looked = true, now
+		}
 	case Ordered:
 		s.ordered(now, e)
 	case Resulted:
