replica: Close what was opened, whatever its reports say

The head still showed ready 0.85 s after it was opened; its members were taken for another replica without a close. Ruled out: an order out of turn (the log shows none), an old entry of the list (its epoch was lower and the head was known). Change: a head that was ordered to open counts as serving until a close was answered; a place that an instance told itself is not replaced by an older one from the list; an accepted order changes what is known at once. Test: TestLaggingReport, which fails before (i50 joins r2-9 while r2-17 serves) and passes after. Conclusion: only reports made after an order count.

--- a/pkg/replica/instance.go
+++ b/pkg/replica/instance.go
@@ -34,6 +34,38 @@
 	return Membership{replica, epoch, rank, phase}
 }
 
+// formation names a replica as it was formed by one decision.
+type formation struct {
+	replica string
+	epoch   uint64
+}
+
+func (m Membership) formation() formation { return formation{m.replica, m.epoch} }
+
+// isAfter reports whether the place is newer than another one that the list shows; isRecent tells that the instance
+// itself told it within the time by which the list lags.
+func (m Membership) isAfter(listed Membership, isRecent bool) bool {
+	if listed.phase != None && listed.epoch < m.epoch {
+		return true
+	}
+	if !isRecent {
+		return false
+	}
+	if listed.phase == None || m.phase == None {
+		return listed.epoch <= m.epoch
+	}
+	if listed.epoch > m.epoch {
+		return false
+	}
+	switch m.phase {
+	case Ready, Open:
+		return listed.phase < m.phase
+	case Closing:
+		return listed.phase == Open
+	}
+	return false
+}
+
 // isOf reports whether the place is in replica as it was formed as epoch.
 func (m Membership) isOf(replica string, epoch uint64) bool {
 	return m.phase != None && m.replica == replica && m.epoch == epoch
--- a/pkg/replica/judge.go
+++ b/pkg/replica/judge.go
@@ -48,16 +48,12 @@
 // judge finds out which replicas are whole: each member is listed, alive, not leaving and says that it belongs to the
 // replica as it was formed last.
 func (s *State) judge() {
-	type formed struct {
-		replica string
-		epoch   uint64
-	}
-	ranks := map[formed]map[int]bool{}
+	ranks := map[formation]map[int]bool{}
 	for _, n := range s.nodes {
 		if !n.lives() || n.leaving || n.member.phase != Ready && n.member.phase != Open {
 			continue
 		}
-		f := formed{n.member.replica, n.member.epoch}
+		f := n.member.formation()
 		if ranks[f] == nil {
 			ranks[f] = map[int]bool{}
 		}
@@ -70,7 +66,7 @@
 			continue
 		}
 		model, isKnown := s.engine.Model(n.loaded)
-		if !isKnown || len(ranks[formed{n.member.replica, n.member.epoch}]) != model.Span() {
+		if !isKnown || len(ranks[n.member.formation()]) != model.Span() {
 			continue
 		}
 		heads[n.loaded] = append(heads[n.loaded],
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -1,11 +1,14 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The pauses between orders to one instance.
 const (
 	orderAgain = 300 * time.Millisecond // an order takes a round trip of a few ms; what was lost is sent again
-	orderLook  = 400 * time.Millisecond // an instance reports a change at once; the list is late if it takes longer
+	orderLook  = 250 * time.Millisecond // an instance reports a change at once; the list is late if it takes longer
 	orderSlack = 2 * time.Second        // beyond the time that a load takes, for loads that share the weight store
 )
 
@@ -84,13 +87,18 @@
 		s.send(now, n, Order{verb: Leave, replica: n.member.replica, epoch: n.member.epoch}, 0)
 		return false
 	}
-	if head.member.serves() {
+	if s.mayServe(head) {
 		s.close(now, head)
 		return false
 	}
 	return true
 }
 
+// mayServe reports whether a head takes or finishes calls, or was opened and has not been seen closed: its entry may lag.
+func (s *State) mayServe(head *node) bool {
+	return head.member.serves() || s.opened[head.member.formation()] && head.member.rank == 0
+}
+
 func (s *State) headOf(m Membership) *node {
 	for _, n := range s.nodes {
 		if n.member.isOf(m.replica, m.epoch) && n.member.rank == 0 {
@@ -201,6 +209,29 @@
 	return e.order.verb == o.verb && e.order.replica == o.replica && e.order.epoch == o.epoch && e.order.model == o.model
 }
 
+// carriedOut takes over what an instance has begun to do.
+func (s *State) carriedOut(now time.Time, n *node, o Order) {
+	switch o.verb {
+	case Join:
+		if n.member.epoch < o.epoch {
+			n.member = NewMembership(o.replica, o.epoch, slices.Index(o.members, n.id), Joining)
+			n.sure = now
+		}
+	case Opening:
+		s.opened[formation{o.replica, o.epoch}] = true
+	case Cut, Drain:
+		delete(s.opened, formation{o.replica, o.epoch})
+		if n.member.isOf(o.replica, o.epoch) && n.member.phase == Open {
+			n.member.phase = Closing
+			n.sure = now
+		}
+	case Leave:
+		if n.member.isOf(o.replica, o.epoch) {
+			n.member, n.sure = Membership{epoch: o.epoch}, now
+		}
+	}
+}
+
 // ordered takes in how an order was answered.
 func (s *State) ordered(now time.Time, e Ordered) {
 	last := s.sent[e.order.id][e.order.verb]
@@ -209,6 +240,9 @@
 	}
 	last.pending, last.reply = false, e.reply
 	n := s.nodes[e.order.id]
+	if n != nil && (e.reply == Begun || e.reply == Done) {
+		s.carriedOut(now, n, e.order)
+	}
 	switch e.reply {
 	case Stale:
 		s.claims, s.read = false, false
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -120,6 +120,63 @@
 	})
 }
 
+func TestStaleEntries(t *testing.T) {
+	Convey("Engines whose entries stay as they were before they joined again break no rule", t, func() {
+		for seed := range uint64(20) {
+			w := newPressedWorld(2)
+			random := rand.New(rand.NewPCG(seed, 2))
+			for range 8 {
+				w.cutOff(w.engines[random.IntN(len(w.engines))])
+			}
+			for range 6 {
+				w.kill(w.engines[random.IntN(len(w.engines))].id)
+				w.run(time.Duration(1+2*random.Float64()) * time.Second)
+			}
+			So(w.broken, ShouldBeEmpty)
+		}
+	})
+}
+
+func TestLaggingReport(t *testing.T) {
+	Convey("A replica that was just opened is closed before its members join another, though reports lag", t, func() {
+		for step := range 24 {
+			w := newPressedWorld(1)
+			smalls, whole := mixedDomain(w)
+			for _, e := range smalls {
+				w.cutOff(e)
+			}
+			w.kill(smalls[1].id)
+			w.kill(smalls[3].id)
+			w.run(1200*time.Millisecond + time.Duration(step)*50*time.Millisecond)
+			w.kill(whole.members[1])
+			w.run(4 * time.Second)
+			So(w.broken, ShouldBeEmpty)
+		}
+	})
+}
+
+// mixedDomain returns the members of two small replicas of one domain, and the head of its large one.
+func mixedDomain(w *world) (smalls []*worldEngine, whole *worldEngine) {
+	byDomain := map[string][]*worldEngine{}
+	for _, e := range w.engines {
+		byDomain[e.domain] = append(byDomain[e.domain], e)
+		if e.loaded != small.Name() || e.member.rank != 0 {
+			continue
+		}
+		smalls = append(smalls, e, w.engine(e.members[1]))
+		if before := len(smalls) - 4; before >= 0 && smalls[before].domain == e.domain {
+			smalls = smalls[before:]
+		}
+	}
+	smalls = smalls[max(len(smalls)-4, 0):]
+	for _, e := range byDomain[smalls[0].domain] {
+		if e.loaded == large.Name() && e.member.rank == 0 {
+			return smalls, e
+		}
+	}
+	panic("no domain with one large and two small replicas")
+}
+
 func TestOrdersInTurn(t *testing.T) {
 	Convey("An instance gets no order while another one to it is not answered", t, func() {
 		w := newWorld(6, 8, 1)
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -28,6 +28,7 @@
 	tokens  uint64
 	sent    map[ID]map[Verb]*errand
 	loads   []time.Time
+	opened  map[formation]bool   // replicas whose head was opened and not closed since
 	planned time.Time            // when the record was last held against what is known
 	rigid   bool                 // replicas never give members to others, for comparison
 	drains  map[string]time.Time // when a replica began to be closed gently, by name
@@ -38,8 +39,9 @@
 // node is what is known of one instance.
 type node struct {
 	Instance
-	last    string // model of the last replica since this start
-	dead    bool   // looks are not answered
+	last    string    // model of the last replica since this start
+	sure    time.Time // when the instance itself last told its place, by an answer
+	dead    bool      // looks are not answered
 	misses  int
 	looked  time.Time // last look that was asked for
 	looking bool
@@ -51,6 +53,7 @@
 		settings: settings,
 		nodes:    map[ID]*node{},
 		heads:    map[string][]Head{},
+		opened:   map[formation]bool{},
 		sent:     map[ID]map[Verb]*errand{},
 		drains:   map[string]time.Time{},
 		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
@@ -141,8 +144,12 @@
 		*n = node{}
 		delete(s.sent, i.id)
 	}
+	known := n.member
 	n.Instance = i
-	n.remember()
+	if known.isAfter(i.member, now.Sub(n.sure) < listLag) {
+		n.member = known
+	}
+	s.remember(n)
 }
 
 func (s *State) drop(id ID) {
@@ -160,8 +167,15 @@
 	return ids
 }
 
-// remember keeps the model of the last replica, which joins again at once.
-func (n *node) remember() {
+// listLag is how long after an instance told its place itself the list may still show an older one; an instance writes
+// its entry at once, and readers of the list tell others within a tenth of a second.
+const listLag = time.Second
+
+// remember keeps that a head is open, and the model of the last replica, which joins again at once.
+func (s *State) remember(n *node) {
+	if n.member.serves() {
+		s.opened[n.member.formation()] = true
+	}
 	if n.member.phase != None && n.member.phase != Joining && n.loaded != "" {
 		n.last = n.loaded
 	}
--- a/pkg/replica/suspect.go
+++ b/pkg/replica/suspect.go
@@ -31,7 +31,7 @@
 	}
 	n.looking = false
 	if e.answered {
-		s.answered(n, e.instance)
+		s.answered(now, n, e.instance)
 		return
 	}
 	n.misses++
@@ -47,14 +47,15 @@
 }
 
 // answered takes an instance for alive, and takes over what it says of its place.
-func (s *State) answered(n *node, seen Instance) {
+func (s *State) answered(now time.Time, n *node, seen Instance) {
 	if n.born > seen.born {
 		return
 	}
 	isOther := n.born != seen.born
+	n.sure = now
 	n.dead, n.misses = false, 0
 	n.born, n.member, n.loaded, n.staged = seen.born, seen.member, seen.loaded, seen.staged
-	n.remember()
+	s.remember(n)
 	if isOther {
 		n.last = ""
 		delete(s.sent, n.id)
--- a/pkg/replica/world_test.go
+++ b/pkg/replica/world_test.go
@@ -16,6 +16,7 @@
 	worldTrip  = 25 * time.Millisecond // each message takes one step
 	worldLook  = 120 * time.Millisecond
 	worldForm  = 300 * time.Millisecond
+	worldLag   = 300 * time.Millisecond // reports are as of some hundred ms ago
 	worldStall = 4 * time.Second
 	worldLost  = 3600 * time.Millisecond // three heartbeats of a silent instance
 )
@@ -44,6 +45,10 @@
 	opening bool
 	token   uint64
 	epoch   uint64
+	cut     bool       // its entry stays as it is
+	entry   Instance   // what it wrote before it was cut
+	past    Membership // what looks show, which lag
+	told    Membership
 	wasOf   map[string]bool // replicas, with epoch and members, in which it was ready
 }
 
@@ -119,6 +124,7 @@
 		w.happen()
 		for _, e := range w.engines {
 			w.proceed(e)
+			w.lag(e)
 		}
 		for _, daemon := range w.daemons {
 			w.tell(daemon)
@@ -141,6 +147,14 @@
 	}
 }
 
+// lag lets looks show the place of an engine a while later.
+func (w *world) lag(e *worldEngine) {
+	if now := e.member; now != e.told {
+		e.told = now
+		w.after(worldLag, func() { e.past = now })
+	}
+}
+
 // proceed completes joins and openings.
 func (w *world) proceed(e *worldEngine) {
 	if e.down || w.now.Before(e.until) {
@@ -186,12 +200,16 @@
 	var gone []ID
 	for _, e := range w.engines {
 		seen := w.instance(e)
+		if e.cut {
+			seen = e.entry
+		}
 		old, isKnown := d.heard[e.id]
 		if e.down && w.now.Sub(e.until) >= worldLost && isKnown {
 			delete(d.heard, e.id)
 			gone = append(gone, e.id)
 		}
-		if !e.down && (!isKnown || !same(old, seen)) {
+		isRelisted := e.cut && w.now.Sub(worldEpoch)%(500*time.Millisecond) == 0
+		if !e.down && (!isKnown || !same(old, seen) || isRelisted) {
 			d.heard[e.id] = seen
 			changed = append(changed, seen)
 		}
@@ -370,7 +388,7 @@
 		w.after(worldLook, func() { w.feed(d, NewMissed(l.ID())) })
 		return
 	}
-	w.after(worldTrip, func() { w.feed(d, NewLooked(w.instance(e))) })
+	w.after(worldTrip, func() { w.feed(d, NewLooked(w.instance(e).WithMembership(e.past))) })
 }
 
 // kill ends an engine without a word; daemons suspect its replica as soon as its streams fall silent.
@@ -382,6 +400,9 @@
 	}
 }
 
+// cutOff keeps an engine from writing its entry; requests and orders still reach it.
+func (w *world) cutOff(e *worldEngine) { e.cut, e.entry = true, w.instance(e) }
+
 // start starts an engine again; its host keeps what is staged.
 func (w *world) start(id ID) {
 	e := w.engine(id)
