replica: Release an instance from every replica it may be in before it joins another

Change: an instance tells its place itself before the first order of a leader; each replica that it was recorded in or tells of must have ended, by an answered close or leave; looks and entries replace a newer place only after a second.

--- a/pkg/replica/instance.go
+++ b/pkg/replica/instance.go
@@ -42,26 +42,26 @@
 
 func (m Membership) formation() formation { return formation{m.replica, m.epoch} }
 
-// isAfter reports whether the place is newer than another one that the list shows; isRecent tells that the instance
-// itself told it within the time by which the list lags.
-func (m Membership) isAfter(listed Membership, isRecent bool) bool {
-	if listed.phase != None && listed.epoch < m.epoch {
+// isAfter reports whether the place is newer than another one that is told; isRecent tells that it came within
+// the time by which reports lag.
+func (m Membership) isAfter(told Membership, isRecent bool) bool {
+	if told.phase != None && told.epoch < m.epoch {
 		return true
 	}
 	if !isRecent {
 		return false
 	}
-	if listed.phase == None || m.phase == None {
-		return listed.epoch <= m.epoch
+	if told.phase == None || m.phase == None {
+		return told.epoch <= m.epoch
 	}
-	if listed.epoch > m.epoch {
+	if told.epoch > m.epoch {
 		return false
 	}
 	switch m.phase {
 	case Ready, Open:
-		return listed.phase < m.phase
+		return told.phase < m.phase
 	case Closing:
-		return listed.phase == Open
+		return told.phase == Open
 	}
 	return false
 }
--- a/pkg/replica/lead.go
+++ b/pkg/replica/lead.go
@@ -10,11 +10,12 @@
 const planPeriod = 250 * time.Millisecond // an eighth of a repair
 
 // led takes over or gives up the formation of replicas.
-func (s *State) led(leads bool) {
+func (s *State) led(now time.Time, leads bool) {
 	if s.leads == leads {
 		return
 	}
 	s.leads, s.read, s.claims = leads, false, false
+	s.since = now
 	s.sent = map[ID]map[Verb]*errand{}
 	if leads {
 		s.writer.Forget()
@@ -89,6 +90,7 @@
 		return
 	}
 	s.tellChanges(r)
+	s.depart(r)
 	s.record, s.read, s.claims = r, true, own
 }
 
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -1,9 +1,6 @@
 package replica
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // The pauses between orders to one instance.
 const (
@@ -64,7 +61,7 @@
 
 // join orders an instance into g once its present replica has ended.
 func (s *State) join(now time.Time, g group, n *node) {
-	if !s.isReleased(now, n) {
+	if !s.isReleased(now, n, formation{g.name, g.epoch}) {
 		return
 	}
 	model, _ := s.engine.Model(g.model)
@@ -76,53 +73,6 @@
 	s.send(now, n, o, takes)
 }
 
-// isReleased reports whether an instance may join another replica: the head of its present one takes no calls and runs
-// none. If not, it orders what is needed.
-func (s *State) isReleased(now time.Time, n *node) bool {
-	if n.member.phase == None {
-		return true
-	}
-	head := s.headOf(n.member)
-	if head == nil || !head.lives() {
-		s.send(now, n, Order{verb: Leave, replica: n.member.replica, epoch: n.member.epoch}, 0)
-		return false
-	}
-	if s.mayServe(head) {
-		s.close(now, head)
-		return false
-	}
-	return true
-}
-
-// mayServe reports whether a head takes or finishes calls, or was opened and has not been seen closed: its entry may lag.
-func (s *State) mayServe(head *node) bool {
-	return head.member.serves() || s.opened[head.member.formation()] && head.member.rank == 0
-}
-
-func (s *State) headOf(m Membership) *node {
-	for _, n := range s.nodes {
-		if n.member.isOf(m.replica, m.epoch) && n.member.rank == 0 {
-			return n
-		}
-	}
-	return nil
-}
-
-// close ends the work of a replica: at once if a member is missing, else after its calls had time to end.
-func (s *State) close(now time.Time, head *node) {
-	name := head.member.replica
-	since, isKnown := s.drains[name]
-	if !isKnown {
-		since = now
-		s.drains[name] = now
-	}
-	verb := Drain
-	if !s.isComplete(head) || now.Sub(since) >= drainLimit {
-		verb = Cut
-	}
-	s.send(now, head, Order{verb: verb, replica: name, epoch: head.member.epoch}, 0)
-}
-
 // isComplete reports whether all members of the replica that head leads are alive.
 func (s *State) isComplete(head *node) bool {
 	model, isKnown := s.engine.Model(head.loaded)
@@ -144,7 +94,7 @@
 	for _, id := range s.ids() {
 		n := s.nodes[id]
 		if n.lives() && n.member.serves() && recorded[n.member.replica] != n.member.epoch {
-			s.close(now, n)
+			s.close(now, n, n.member.formation())
 		}
 	}
 	for name := range s.drains {
@@ -209,29 +159,6 @@
 	return e.order.verb == o.verb && e.order.replica == o.replica && e.order.epoch == o.epoch && e.order.model == o.model
 }
 
-// carriedOut takes over what an instance has begun to do.
-func (s *State) carriedOut(now time.Time, n *node, o Order) {
-	switch o.verb {
-	case Join:
-		if n.member.epoch < o.epoch {
-			n.member = NewMembership(o.replica, o.epoch, slices.Index(o.members, n.id), Joining)
-			n.sure = now
-		}
-	case Opening:
-		s.opened[formation{o.replica, o.epoch}] = true
-	case Cut, Drain:
-		delete(s.opened, formation{o.replica, o.epoch})
-		if n.member.isOf(o.replica, o.epoch) && n.member.phase == Open {
-			n.member.phase = Closing
-			n.sure = now
-		}
-	case Leave:
-		if n.member.isOf(o.replica, o.epoch) {
-			n.member, n.sure = Membership{epoch: o.epoch}, now
-		}
-	}
-}
-
 // ordered takes in how an order was answered.
 func (s *State) ordered(now time.Time, e Ordered) {
 	last := s.sent[e.order.id][e.order.verb]
@@ -240,8 +167,8 @@
 	}
 	last.pending, last.reply = false, e.reply
 	n := s.nodes[e.order.id]
-	if n != nil && (e.reply == Begun || e.reply == Done) {
-		s.carriedOut(now, n, e.order)
+	if n != nil {
+		s.answeredOrder(now, n, e)
 	}
 	switch e.reply {
 	case Stale:
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -155,6 +155,28 @@
 	})
 }
 
+func TestStaleTakeover(t *testing.T) {
+	Convey("A new leader that knows of cut off engines by old entries alone breaks no rule", t, func() {
+		for step := range 24 {
+			w := newPressedWorld(2)
+			smalls, whole := mixedDomain(w)
+			for _, e := range smalls {
+				w.cutOff(e)
+			}
+			w.kill(smalls[1].id)
+			w.kill(smalls[3].id)
+			w.run(1800 * time.Millisecond)
+			w.kill(whole.members[1])
+			w.run(time.Duration(step) * worldStep)
+			w.daemons[0].down = true
+			w.feed(w.daemons[1], NewDemanded(map[string]float64{"large": 5, "small": 2}))
+			w.feed(w.daemons[1], NewLed(true))
+			w.run(4 * time.Second)
+			So(w.broken, ShouldBeEmpty)
+		}
+	})
+}
+
 // mixedDomain returns the members of two small replicas of one domain, and the head of its large one.
 func mixedDomain(w *world) (smalls []*worldEngine, whole *worldEngine) {
 	byDomain := map[string][]*worldEngine{}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -28,7 +28,10 @@
 	tokens  uint64
 	sent    map[ID]map[Verb]*errand
 	loads   []time.Time
-	opened  map[formation]bool   // replicas whose head was opened and not closed since
+	since   time.Time          // when this daemon began to lead
+	past    map[ID][]place     // replicas that instances were recorded in and have not been seen to end
+	ended   map[formation]bool // replicas whose head answered a close
+	left    map[departure]bool
 	planned time.Time            // when the record was last held against what is known
 	rigid   bool                 // replicas never give members to others, for comparison
 	drains  map[string]time.Time // when a replica began to be closed gently, by name
@@ -41,6 +44,7 @@
 	Instance
 	last    string    // model of the last replica since this start
 	sure    time.Time // when the instance itself last told its place, by an answer
+	changed time.Time // when the place last became another one
 	dead    bool      // looks are not answered
 	misses  int
 	looked  time.Time // last look that was asked for
@@ -53,7 +57,9 @@
 		settings: settings,
 		nodes:    map[ID]*node{},
 		heads:    map[string][]Head{},
-		opened:   map[formation]bool{},
+		past:     map[ID][]place{},
+		ended:    map[formation]bool{},
+		left:     map[departure]bool{},
 		sent:     map[ID]map[Verb]*errand{},
 		drains:   map[string]time.Time{},
 		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
@@ -83,7 +89,7 @@
 	case Resulted:
 		s.resulted(now, e.result)
 	case Led:
-		s.led(e.leads)
+		s.led(now, e.leads)
 	case Demanded:
 		s.demanded(e.work)
 	case Ticked:
@@ -146,10 +152,9 @@
 	}
 	known := n.member
 	n.Instance = i
-	if known.isAfter(i.member, now.Sub(n.sure) < listLag) {
-		n.member = known
-	}
-	s.remember(n)
+	n.take(now, known, i.member)
+	s.noteEnd(known, n)
+	n.remember()
 }
 
 func (s *State) drop(id ID) {
@@ -167,15 +172,23 @@
 	return ids
 }
 
-// listLag is how long after an instance told its place itself the list may still show an older one; an instance writes
-// its entry at once, and readers of the list tell others within a tenth of a second.
-const listLag = time.Second
+// reportLag is how long an older place may still be told after a newer one: looks are as of some hundred ms ago, and
+// readers of the list tell others within a tenth of a second.
+const reportLag = time.Second
 
-// remember keeps that a head is open, and the model of the last replica, which joins again at once.
-func (s *State) remember(n *node) {
-	if n.member.serves() {
-		s.opened[n.member.formation()] = true
+// take replaces the place that is known by the one that is told, unless that is older.
+func (n *node) take(now time.Time, known, told Membership) {
+	n.member = told
+	if known.isAfter(told, now.Sub(n.changed) < reportLag) {
+		n.member = known
 	}
+	if n.member != known {
+		n.changed = now
+	}
+}
+
+// remember keeps the model of the last replica, which joins again at once.
+func (n *node) remember() {
 	if n.member.phase != None && n.member.phase != Joining && n.loaded != "" {
 		n.last = n.loaded
 	}
--- a/pkg/replica/suspect.go
+++ b/pkg/replica/suspect.go
@@ -53,9 +53,16 @@
 	}
 	isOther := n.born != seen.born
 	n.sure = now
+	before := n.member
 	n.dead, n.misses = false, 0
-	n.born, n.member, n.loaded, n.staged = seen.born, seen.member, seen.loaded, seen.staged
-	s.remember(n)
+	n.born, n.loaded, n.staged = seen.born, seen.loaded, seen.staged
+	if isOther {
+		n.member = seen.member
+	} else {
+		n.take(now, before, seen.member)
+	}
+	s.noteEnd(before, n)
+	n.remember()
 	if isOther {
 		n.last = ""
 		delete(s.sent, n.id)
