replica: Don't let survivors wait for the weight store

Ruled out: a slow repair (joins are answered within 5 ms) and leadership (0.5 s). Change: repairs and new replicas take only instances that join without a load; survivors are given up and fill another replica of their domain; idle instances are staged by what brings most for each load, at most as many as the store bears; across domains slow replicas are formed of what is left; a close that was done already counts. A daemon that the store turns away says so, and goes on by what a reader tells.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -104,6 +104,9 @@
 		go d.order(effect)
 	case replica.Look:
 		go d.look(effect)
+	case replica.Counted:
+		d.log.Line("replica", "count", "alive", effect.Alive(), "leaving", effect.Leaving(), "idle", effect.Idle(),
+			"recorded", effect.Recorded(), "open", effect.Open(), "need", effect.Need(), "waiting", effect.Waiting())
 	case replica.Decided:
 		d.log.Line("replica", effect.What(), "replica", effect.Replica(), "model", effect.Model(),
 			"epoch", effect.Epoch(), "members", effect.Members(), "reason", effect.Reason())
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -114,7 +114,8 @@
 // of prompts that were sent there before.
 func (s *State) firstEvent(c *call, one choice) time.Duration {
 	engine, model := s.engineOf(c)
-	return engine.Pass(model, int(one.calls)+1) + engine.Read(model, one.own.unread+c.prompt)
+	plain := engine.Pass(model, int(one.calls)+1) + engine.Read(model, one.own.unread+c.prompt)
+	return time.Duration(float64(plain) * one.target.pace)
 }
 
 func (s *State) send(now time.Time, c *call, best choice, others int) {
@@ -129,7 +130,7 @@
 	s.emit(Send{
 		attempt: a.id, id: c.id, upstream: best.target.name, address: best.target.address,
 		organisation: c.organisation, priority: c.priority, left: c.ends.Sub(now), last: c.last,
-		kind: c.route.Kind(), silence: s.silenceOf(c),
+		kind: c.route.Kind(), silence: s.silenceOf(c, best.target),
 	})
 	s.note(now, c, "sent", best.target.name, "", Inputs{others, best.calls, best.cost, len(s.queue), now.Sub(best.own.reported)})
 }
@@ -142,10 +143,11 @@
 )
 
 // silenceOf returns the pause after which a stream counts as silent.
-func (s *State) silenceOf(c *call) time.Duration {
+func (s *State) silenceOf(c *call, t Target) time.Duration {
 	if !s.isModel(c) {
 		return 0
 	}
 	engine, model := s.engineOf(c)
-	return max(minSilence, silencePasses*engine.Pass(model, engine.Slots()))
+	pass := time.Duration(float64(engine.Pass(model, engine.Slots())) * t.pace)
+	return max(minSilence, silencePasses*pass)
 }
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -21,12 +21,19 @@
 	address string
 	near    bool
 	slots   int
+	pace    float64
 }
 
 // NewTarget returns the upstream called name at address (host:port), whether it is in the daemon's data centre, and how
 // many requests it runs at once.
 func NewTarget(name, address string, near bool, slots int) Target {
-	return Target{name, address, near, slots}
+	return Target{name, address, near, slots, 1}
+}
+
+// WithPace returns the target with the factor by which its work takes longer than that of others.
+func (t Target) WithPace(factor float64) Target {
+	t.pace = factor
+	return t
 }
 
 // Name returns the name of the upstream.
--- a/pkg/gateway/hand.go
+++ b/pkg/gateway/hand.go
@@ -80,7 +80,7 @@
 		s.spreadDeath(now, effect.ID())
 	case replica.Changed:
 		s.toDispatch(now, dispatch.NewTicked())
-	case replica.Order, replica.Look, replica.Decided:
+	case replica.Order, replica.Look, replica.Decided, replica.Counted:
 		s.emit(ToReplica{effect})
 	}
 }
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -37,6 +37,7 @@
 	live     []peer.Member
 	cut      map[string]bool      // the link broke and nothing came since
 	outage   map[string]time.Time // until when a peer is known not to reach the store
+	out      bool                 // the store can't be reached from here
 	told     time.Time
 	checked  time.Time
 	first    string    // who is to lead
@@ -61,7 +62,7 @@
 		return
 	}
 	m.checked = now
-	if s.spread.follows && s.listing.broken && now.Sub(m.told) >= outageTell {
+	if s.members.out && now.Sub(m.told) >= outageTell {
 		s.tellOutage(now, true)
 	}
 	fresh := s.freshMembers(now)
@@ -86,7 +87,7 @@
 // first, so that one that starts again takes nothing over from one that works.
 func (s *State) rank(now time.Time, fresh []peer.Member) []string {
 	var able []peer.Member
-	if s.stopping.IsZero() && !(s.spread.follows && s.listing.broken) && now.Sub(s.members.began) >= leadAfter {
+	if s.stopping.IsZero() && !s.members.out && now.Sub(s.members.began) >= leadAfter {
 		able = append(able, s.ownMember()...)
 	}
 	for _, one := range fresh {
--- a/pkg/gateway/spread.go
+++ b/pkg/gateway/spread.go
@@ -63,18 +63,18 @@
 
 // refreshSpread decides whether this daemon reads the list itself, asks its reader and tells those that asked.
 func (s *State) refreshSpread(now time.Time) {
-	p := &s.spread
-	if s.members.isReader || now.Sub(p.heard) > sourceLost || !p.settled {
-		s.follow(true)
-	} else {
-		s.follow(false)
-	}
+	s.follow(s.members.isReader || s.members.out || !s.isTold(now))
 	if !s.members.isReader {
 		s.ask(now)
 	}
 	s.tellChanges(now)
 }
 
+// isTold reports whether a reader tells this daemon what changes.
+func (s *State) isTold(now time.Time) bool {
+	return s.spread.settled && now.Sub(s.spread.heard) <= sourceLost
+}
+
 // follow begins or ends reading the list.
 func (s *State) follow(on bool) {
 	if s.spread.follows != on {
@@ -130,7 +130,7 @@
 		return
 	}
 	p.askers[name] = now
-	answer := letter{start: p.start, from: p.number, to: p.number, broken: s.listing.broken}
+	answer := letter{start: p.start, from: p.number, to: p.number, broken: s.listing.broken || s.members.out}
 	if l.start != p.start || l.to != p.number {
 		answer.whole = true
 		for _, id := range slices.Sorted(maps.Keys(s.listing.entries)) {
@@ -149,7 +149,7 @@
 		return
 	}
 	p.heard, p.theirs, p.held, p.settled = now, l.start, l.to, true
-	if p.follows && !l.whole {
+	if p.follows && !s.members.out && !l.whole {
 		return // the list is still read here
 	}
 	if l.broken {
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -154,7 +154,8 @@
 	if !s.spread.follows {
 		return // what was under way when another daemon took over reading
 	}
-	if s.listing.broken {
+	if s.members.out {
+		s.members.out = false
 		s.tellOutage(now, false)
 	}
 	changed, gone := s.listing.take(now, e)
@@ -162,11 +163,16 @@
 	s.refreshReady()
 }
 
-// unlist takes in that the list can't be read.
+// unlist takes in that the list can't be read here; it goes on by what a reader tells, if there is one.
 func (s *State) unlist(now time.Time) {
-	if s.spread.follows && !s.listing.broken {
+	if !s.spread.follows || s.members.out {
+		return
+	}
+	s.members.out = true
+	s.members.checked = time.Time{}
+	s.tellOutage(now, true)
+	if !s.isTold(now) {
 		s.listing.broken = true
-		s.tellOutage(now, true)
 	}
 }
 
@@ -226,8 +232,12 @@
 	engines, _ := s.config.Service(s.engines)
 	targets := make([]dispatch.Target, 0, len(heads))
 	for _, h := range heads {
-		targets = append(targets, dispatch.NewTarget(
-			string(h.ID()), h.Address(), h.Centre() == s.identity.centre, engines.Engine().Slots()))
+		target := dispatch.NewTarget(
+			string(h.ID()), h.Address(), h.Centre() == s.identity.centre, engines.Engine().Slots())
+		if h.Far() {
+			target = target.WithPace(engines.Engine().Far())
+		}
+		targets = append(targets, target)
 	}
 	return targets
 }
--- a/pkg/replica/effect.go
+++ b/pkg/replica/effect.go
@@ -83,6 +83,35 @@
 // ID returns the instance that does not answer.
 func (s Spread) ID() ID { return s.id }
 
+// Counted says how the instances are used, for the log of the leader.
+type Counted struct {
+	alive, leaving, idle int
+	recorded, open       map[string]int
+	need                 map[string]float64
+	waiting              []string
+}
+
+// Alive returns how many instances answer.
+func (c Counted) Alive() int { return c.alive }
+
+// Leaving returns how many of them are about to end.
+func (c Counted) Leaving() int { return c.leaving }
+
+// Idle returns how many of the others are in no recorded replica.
+func (c Counted) Idle() int { return c.idle }
+
+// Recorded returns the recorded replicas of each model.
+func (c Counted) Recorded() map[string]int { return c.recorded }
+
+// Open returns the replicas of each model that take calls.
+func (c Counted) Open() map[string]int { return c.open }
+
+// Need returns how many replicas the work of each model keeps busy.
+func (c Counted) Need() map[string]float64 { return c.need }
+
+// Waiting returns the recorded replicas that take no calls, each with what its members do.
+func (c Counted) Waiting() []string { return c.waiting }
+
 // Changed says that another set of replicas takes calls.
 type Changed struct{}
 
@@ -122,6 +151,8 @@
 
 func (Spread) isEffect() {}
 
+func (Counted) isEffect() {}
+
 func (Changed) isEffect() {}
 
 func (Decided) isEffect() {}
--- /dev/null
+++ b/pkg/replica/far.go
@@ -0,0 +1,73 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// When many instances are lost at once, those that are left stand idle in domains that have too few of them for a replica,
+// until the weight store has loaded others. Across domains they form replicas that are slow, but serve meanwhile.
+
+// isFar reports whether the members of g lie in several domains.
+func (d *draft) isFar(g group) bool {
+	return slices.ContainsFunc(g.members, func(m member) bool {
+		return d.nodes[m.id].domain != d.nodes[g.members[0].id].domain
+	})
+}
+
+// liftFar takes the replicas across domains out of the draft, so that their members can form others within a domain.
+func (d *draft) liftFar() []group {
+	var far []group
+	d.next.groups = slices.DeleteFunc(d.next.groups, func(g group) bool {
+		isFar := d.isFar(g)
+		if isFar {
+			far = append(far, g)
+			d.release(g.members)
+		}
+		return isFar
+	})
+	return far
+}
+
+// restoreFar puts those back whose members were not needed.
+func (d *draft) restoreFar(far []group) {
+	for _, g := range far {
+		if slices.ContainsFunc(g.members, func(m member) bool { return d.taken[m.id] }) {
+			d.change = true
+			continue
+		}
+		d.next.groups = append(d.next.groups, g)
+		d.take(g)
+	}
+}
+
+// formFar forms replicas across domains of instances that can join without the weight store.
+func (d *draft) formFar() {
+	if d.demand == nil {
+		return
+	}
+	for _, model := range d.neediest() {
+		free := d.everywhere(model)
+		for len(free) >= model.Span() {
+			var members []member
+			for _, id := range free[:model.Span()] {
+				members = append(members, member{id, d.nodes[id].born})
+			}
+			d.add(group{d.freeName(), model.Name(), 0, members})
+			free = free[model.Span():]
+		}
+	}
+}
+
+// everywhere returns the idle instances of all domains that can join a replica of model without the weight store, those
+// of the domains with the most of them first, so that few domains are mixed.
+func (d *draft) everywhere(model route.Model) []ID {
+	byDomain := [][]ID{}
+	for _, domain := range d.domains() {
+		free := d.idle(domain, model)
+		byDomain = append(byDomain, free[:d.readyOf(free, model)])
+	}
+	slices.SortStableFunc(byDomain, func(a, b []ID) int { return len(b) - len(a) })
+	return slices.Concat(byDomain...)
+}
--- a/pkg/replica/judge.go
+++ b/pkg/replica/judge.go
@@ -10,6 +10,7 @@
 	replica string
 	epoch   uint64
 	model   string
+	far     bool
 }
 
 // ID returns the instance that leads the replica.
@@ -24,6 +25,9 @@
 // Replica returns the name of the replica.
 func (h Head) Replica() string { return h.replica }
 
+// Far reports whether the members lie in several fabric domains.
+func (h Head) Far() bool { return h.far }
+
 // Model returns the model that the replica serves.
 func (h Head) Model() string { return h.model }
 
@@ -48,15 +52,17 @@
 // judge finds out which replicas are whole: each member is listed, alive, not leaving and says that it belongs to the
 // replica as it was formed last.
 func (s *State) judge() {
-	ranks := map[formation]map[int]bool{}
+	ranks, domains := map[formation]map[int]bool{}, map[formation]string{}
+	far := map[formation]bool{}
 	for _, n := range s.nodes {
 		if !n.lives() || n.leaving || n.member.phase != Ready && n.member.phase != Open {
 			continue
 		}
 		f := n.member.formation()
 		if ranks[f] == nil {
-			ranks[f] = map[int]bool{}
+			ranks[f], domains[f] = map[int]bool{}, n.domain
 		}
+		far[f] = far[f] || domains[f] != n.domain
 		ranks[f][n.member.rank] = true
 	}
 	heads := map[string][]Head{}
@@ -70,7 +76,7 @@
 			continue
 		}
 		heads[n.loaded] = append(heads[n.loaded],
-			Head{id, n.address, n.centre, n.member.replica, n.member.epoch, n.loaded})
+			Head{id, n.address, n.centre, n.member.replica, n.member.epoch, n.loaded, far[n.member.formation()]})
 	}
 	if !sameHeads(s.heads, heads) {
 		s.heads = heads
--- a/pkg/replica/lead.go
+++ b/pkg/replica/lead.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"strings"
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/object"
@@ -41,6 +42,7 @@
 			s.planned = now
 			s.decide(now)
 		}
+		s.count(now)
 	}
 	for _, request := range s.writer.Tick(now, &s.refs) {
 		s.emit(Store{request})
@@ -110,3 +112,60 @@
 		s.emit(Decided{what: "replica given up", replica: name, epoch: epoch, reason: "recorded"})
 	}
 }
+
+// countPeriod is the time between two counts in the log.
+const countPeriod = 2 * time.Second
+
+// count tells the log how the instances are used.
+func (s *State) count(now time.Time) {
+	if now.Sub(s.counted) < countPeriod {
+		return
+	}
+	s.counted = now
+	c := Counted{recorded: map[string]int{}, open: map[string]int{}, need: map[string]float64{}}
+	for id, n := range s.nodes {
+		if !n.lives() {
+			continue
+		}
+		c.alive++
+		if n.leaving {
+			c.leaving++
+		} else if !s.record.holds(id) {
+			c.idle++
+		}
+	}
+	for _, g := range s.record.groups {
+		c.recorded[g.model]++
+		if head := s.nodes[g.members[0].id]; head == nil || !head.member.isOf(g.name, g.epoch) || head.member.phase != Open {
+			c.waiting = append(c.waiting, g.name+":"+s.describe(g))
+		}
+	}
+	for model, heads := range s.heads {
+		c.open[model] = len(heads)
+	}
+	for model, need := range s.demand {
+		c.need[model] = need
+	}
+	s.emit(c)
+}
+
+// describe tells what the members of a replica do.
+func (s *State) describe(g group) string {
+	words := make([]string, 0, len(g.members))
+	for _, m := range g.members {
+		n := s.nodes[m.id]
+		switch {
+		case n == nil:
+			words = append(words, "gone")
+		case n.dead:
+			words = append(words, "dead")
+		case n.leaving:
+			words = append(words, "leaving")
+		case !n.member.isOf(g.name, g.epoch):
+			words = append(words, "elsewhere")
+		default:
+			words = append(words, n.member.phase.String())
+		}
+	}
+	return strings.Join(words, ",")
+}
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -21,6 +21,7 @@
 	order   Order
 	at      time.Time
 	pending bool
+	isLoad  bool // a join that loads from the weight store
 	reply   Reply
 	due     time.Time // when the effect should show
 	looked  time.Time
@@ -32,10 +33,12 @@
 		s.advance(now, g)
 	}
 	s.closeStrays(now)
-	if now.Sub(s.arrived) >= settleTime {
-		s.stage(now)
-		s.stageMembers(now)
+	if now.Sub(s.arrived) < settleTime || s.demand != nil && now.Sub(s.since) < stagePause || now.Sub(s.staged) < planPeriod {
+		return
 	}
+	s.staged = now
+	s.stage(now)
+	s.stageMembers(now)
 }
 
 // advance brings one replica a step further: all join, then the head opens.
@@ -67,10 +70,12 @@
 	model, _ := s.engine.Model(g.model)
 	takes := n.loadTime(model)
 	o := Order{verb: Join, replica: g.name, epoch: g.epoch, model: g.model, members: g.ids()}
-	if s.isUnderway(now, n, o) || takes == model.Load() && !s.mayLoad(now) {
+	isLoad := takes == model.Load()
+	if s.isUnderway(now, n, o) || isLoad && !s.mayLoad(now, 1) {
 		return
 	}
 	s.send(now, n, o, takes)
+	s.sent[n.id][Join].isLoad = isLoad
 }
 
 // isComplete reports whether all members of the replica that head leads are alive.
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -50,7 +50,11 @@
 		d.repair(g)
 	}
 	if now.Sub(s.arrived) >= settleTime {
+		far := d.liftFar()
 		d.form()
+		d.restoreFar(far)
+		d.formFar()
+		d.convert()
 	}
 	return d.next, d.change
 }
@@ -96,8 +100,8 @@
 	return left
 }
 
-// repair gives a broken replica new members from the fabric domain of its survivors, or gives it up. If no instance is
-// idle there, a replica of a model that needs it less is taken apart.
+// repair gives a broken replica new members from the fabric domain of its survivors, or gives it up, so that they can fill
+// another one. If no instance is ready there, a replica of a model that needs it less is taken apart.
 func (d *draft) repair(g group) {
 	members := d.survivors(g)
 	if len(members) == 0 {
@@ -106,9 +110,9 @@
 	model, _ := d.engine.Model(g.model)
 	domain := d.nodes[members[0].id].domain
 	missing := model.Span() - len(members)
-	spares := d.idle(domain, model)
+	spares := d.ready(domain, model)
 	if len(spares) < missing && d.dissolve(domain, model, missing-len(spares), repairMargin) {
-		spares = d.idle(domain, model)
+		spares = d.ready(domain, model)
 	}
 	if len(spares) < missing {
 		d.release(members)
@@ -132,6 +136,27 @@
 	d.change = true
 }
 
+// ready returns the idle instances of a fabric domain that can join a replica of model without a load from the weight
+// store, which takes so long that the other members do better elsewhere. While nothing is served yet, all can.
+func (d *draft) ready(domain string, model route.Model) []ID {
+	free := d.idle(domain, model)
+	if d.demand == nil || d.replicas(model) == 0 {
+		return free
+	}
+	return free[:d.readyOf(free, model)]
+}
+
+// readyOf returns how many instances could join a replica of model without a load from the weight store.
+func (d *draft) readyOf(ids []ID, model route.Model) int {
+	count := 0
+	for _, id := range ids {
+		if d.nodes[id].loadTime(model) < model.Load() {
+			count++
+		}
+	}
+	return count
+}
+
 // idle returns the instances of a fabric domain that may join a replica of model, those that load fastest first.
 func (d *draft) idle(domain string, model route.Model) []ID {
 	var free []ID
@@ -163,7 +188,6 @@
 func (d *draft) form() {
 	for d.formOne() {
 	}
-	d.convert()
 }
 
 func (d *draft) formOne() bool {
@@ -184,7 +208,7 @@
 	var bestTime time.Duration
 	bestIdle := 0
 	for _, domain := range d.domains() {
-		free := d.idle(domain, model)
+		free := d.ready(domain, model)
 		if len(free) < model.Span()+reserve {
 			continue
 		}
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -112,7 +112,7 @@
 	case Opening:
 		delete(s.ended, f)
 	case Cut, Drain:
-		s.ended[f] = s.ended[f] || e.order.verb == Cut
+		s.ended[f] = s.ended[f] || e.order.verb == Cut || e.reply == Done
 		if n.member.isOf(f.replica, f.epoch) && n.member.phase == Open {
 			n.place(now, NewMembership(f.replica, f.epoch, n.member.rank, Closing))
 		}
--- a/pkg/replica/shift.go
+++ b/pkg/replica/shift.go
@@ -111,15 +111,7 @@
 }
 
 // quick returns how many members of g could join a replica of model without a load from the weight store.
-func (d *draft) quick(g group, model route.Model) int {
-	count := 0
-	for _, m := range g.members {
-		if d.nodes[m.id].loadTime(model) < model.Load() {
-			count++
-		}
-	}
-	return count
-}
+func (d *draft) quick(g group, model route.Model) int { return d.readyOf(g.ids(), model) }
 
 func (d *draft) remove(g group) {
 	d.next.groups = slices.DeleteFunc(d.next.groups, func(other group) bool { return other.name == g.name })
@@ -134,7 +126,7 @@
 	}
 	model := d.neediest()[0]
 	for _, domain := range d.domains() {
-		idle := len(d.idle(domain, model))
+		idle := len(d.ready(domain, model))
 		if !d.dissolve(domain, model, model.Span()-idle, convertMargin) {
 			continue
 		}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 	settings  Settings
 	engine    route.Engine
 	nodes     map[ID]*node
+	names     []ID               // of the nodes, in order; nil when it is to be made anew
 	heads     map[string][]Head  // by model
 	woken     time.Time          // last event
 	arrived   time.Time          // when an instance last came that was not known
@@ -33,6 +35,8 @@
 	ended   map[formation]bool // replicas whose head answered a close
 	left    map[departure]bool
 	planned time.Time            // when the record was last held against what is known
+	staged  time.Time            // when hosts were last looked over for what to stage
+	counted time.Time            // when the log was last told how the instances are used
 	rigid   bool                 // replicas never give members to others, for comparison
 	drains  map[string]time.Time // when a replica began to be closed gently, by name
 
@@ -141,6 +145,7 @@
 	if n == nil {
 		n = &node{}
 		s.nodes[i.id] = n
+		s.names = nil
 		s.arrived = now
 	}
 	if n.born > i.born {
@@ -159,17 +164,16 @@
 
 func (s *State) drop(id ID) {
 	delete(s.nodes, id)
+	s.names = nil
 	delete(s.sent, id)
 }
 
-// ids returns the instances in the order of their names.
+// ids returns the instances in the order of their names; callers don't change the list.
 func (s *State) ids() []ID {
-	ids := make([]ID, 0, len(s.nodes))
-	for id := range s.nodes {
-		ids = append(ids, id)
+	if len(s.names) != len(s.nodes) {
+		s.names = slices.Sorted(maps.Keys(s.nodes))
 	}
-	slices.Sort(ids)
-	return ids
+	return s.names
 }
 
 // reportLag is how long an older place may still be told after a newer one: looks are as of some hundred ms ago, and
--- a/pkg/replica/world_test.go
+++ b/pkg/replica/world_test.go
@@ -92,7 +92,7 @@
 	}
 	engine := route.NewEngine(26, large, small).
 		WithPace(6*time.Millisecond, 241*time.Microsecond, 5, 46000, 2048).
-		WithLoads(4, 1, worldForm)
+		WithLoads(4, 6, 1, worldForm)
 	for i := range daemons {
 		name := string(rune('a' + i))
 		d := &worldDaemon{name: name, heard: map[ID]Instance{}}
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -43,8 +43,10 @@
 	perCall   time.Duration
 	readRate  float64
 	loadRate  float64
+	loads     int
 	retention int
 	form      time.Duration
+	far       float64
 	lag       time.Duration
 	models    []Model
 }
@@ -59,13 +61,22 @@
 	return e
 }
 
-// WithLoads returns the engine with the loads from the weight store that may begin in a second, the models that a host
-// keeps staged, and the time in which an opened replica begins to serve.
-func (e Engine) WithLoads(rate float64, retention int, form time.Duration) Engine {
-	e.loadRate, e.retention, e.form = rate, retention, form
+// WithLoads returns the engine with the loads from the weight store that may begin in a second, those that may run at once
+// without getting slower, the models that a host keeps staged, and the time in which an opened replica begins to serve.
+func (e Engine) WithLoads(rate float64, atOnce, retention int, form time.Duration) Engine {
+	e.loadRate, e.loads, e.retention, e.form = rate, atOnce, retention, form
 	return e
 }
 
+// WithFar returns the engine with the factor on the times of a replica whose members lie in several fabric domains.
+func (e Engine) WithFar(factor float64) Engine {
+	e.far = factor
+	return e
+}
+
+// Far returns the factor on the times of a replica whose members lie in several fabric domains, 1 for none.
+func (e Engine) Far() float64 { return max(e.far, 1) }
+
 // WithLag returns the engine with the age of what it reports of its load.
 func (e Engine) WithLag(lag time.Duration) Engine {
 	e.lag = lag
@@ -78,6 +89,9 @@
 // LoadRate returns how many loads from the weight store may begin in a second, 0 for no limit.
 func (e Engine) LoadRate() float64 { return e.loadRate }
 
+// Loads returns how many loads from the weight store may run at once without getting slower, 0 for no limit.
+func (e Engine) Loads() int { return e.loads }
+
 // Form returns the time in which an opened replica begins to serve.
 func (e Engine) Form() time.Duration { return e.form }
 
