gateway: Tell daemons of a large fleet the configuration instead of letting each watch it

Ruled out: longer waits (a watch may miss a change when the history is dropped). Change: with more than ten daemons only the readers of the list, and those that hear of none, watch; a reader sends a configuration to those that ask it as soon as it is in force there.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -53,6 +53,8 @@
 	stopped   chan struct{}
 
 	mutex    sync.Mutex
+	watches  context.Context // of all watches of objects, nil while there are none
+	unwatch  context.CancelFunc
 	calls    map[dispatch.ID]*exchange
 	attempts map[dispatch.Attempt]context.CancelFunc
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -21,6 +21,10 @@
 func (d *Daemon) execute(effect gateway.Effect) {
 	switch effect := effect.(type) {
 	case gateway.Store:
+		if watch, isWatch := effect.Request().(object.Watch); isWatch {
+			go d.watch(d.watching(), effect.Part(), watch)
+			return
+		}
 		go d.store(effect)
 	case gateway.Decode:
 		d.decode(effect.Document())
@@ -66,14 +70,33 @@
 
 // store makes one call to the object API.
 func (d *Daemon) store(effect gateway.Store) {
-	deliver := func(result object.Result) { d.feed(gateway.NewResulted(effect.Part(), result)) }
-	if watch, isWatch := effect.Request().(object.Watch); isWatch {
-		d.adapter.Store.Watch(d.work, watch, deliver)
-		return
-	}
 	result := d.adapter.Store.Do(d.work, effect.Request())
 	d.recorder.Stored(effect.Request(), result)
-	deliver(result)
+	d.feed(gateway.NewResulted(effect.Part(), result))
+}
+
+func (d *Daemon) watch(ctx context.Context, part gateway.Part, watch object.Watch) {
+	d.adapter.Store.Watch(ctx, watch, func(result object.Result) { d.feed(gateway.NewResulted(part, result)) })
+}
+
+// watching returns the context of the watches that begin now.
+func (d *Daemon) watching() context.Context {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.watches == nil {
+		d.watches, d.unwatch = context.WithCancel(d.work)
+	}
+	return d.watches
+}
+
+// endWatches ends all watches of objects.
+func (d *Daemon) endWatches() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.unwatch != nil {
+		d.unwatch()
+		d.watches, d.unwatch = nil, nil
+	}
 }
 
 // decode reads a configuration; one that can't be read leaves the one before in force.
@@ -92,6 +115,8 @@
 	switch effect := effect.(type) {
 	case peer.Send:
 		d.hub.Send(effect.Name(), effect.Address(), effect.Message())
+	case peer.Unwatch:
+		d.endWatches()
 	case peer.Reset:
 		d.log.Line("peer", "stood still")
 		go d.hub.Reset()
--- a/pkg/gateway/hand.go
+++ b/pkg/gateway/hand.go
@@ -27,6 +27,7 @@
 	case peer.Adopt:
 		if effect.Document().Name() == configDocument {
 			s.emit(Decode{effect.Document()})
+			s.pushConfig(now)
 		}
 	case peer.Learn:
 		s.learn(now, effect)
@@ -36,7 +37,7 @@
 		}
 	case peer.Members:
 		s.members.live = effect.Members()
-	case peer.Send, peer.Reset:
+	case peer.Send, peer.Reset, peer.Unwatch:
 		s.emit(ToPeer{effect})
 	}
 }
--- a/pkg/gateway/spread.go
+++ b/pkg/gateway/spread.go
@@ -64,12 +64,32 @@
 // refreshSpread decides whether this daemon reads the list itself, asks its reader and tells those that asked.
 func (s *State) refreshSpread(now time.Time) {
 	s.follow(s.members.isReader || s.members.out || !s.isTold(now))
+	s.watchConfig(now)
 	if !s.members.isReader {
 		s.ask(now)
 	}
 	s.tellChanges(now)
 }
 
+// smallFleet is up to how many daemons each of them watches the configuration in the store itself.
+const smallFleet = 10 // in a larger one the calls of idle watches cost more than a few readers that pass it on
+
+// watchConfig decides whether this daemon watches the configuration itself, or is told by its reader.
+func (s *State) watchConfig(now time.Time) {
+	on := s.members.sharers <= smallFleet || s.members.isReader || !s.isTold(now)
+	s.toPeer(now, peer.NewWatching(on))
+}
+
+// pushConfig sends the configuration to those that asked lately, once it is in force here.
+func (s *State) pushConfig(now time.Time) {
+	if !s.spread.follows || s.members.sharers <= smallFleet {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.spread.askers)) {
+		s.toPeer(now, peer.NewPush(name, configDocument))
+	}
+}
+
 // isTold reports whether a reader tells this daemon what changes.
 func (s *State) isTold(now time.Time) bool {
 	return s.spread.settled && now.Sub(s.spread.heard) <= sourceLost
--- a/pkg/peer/effect.go
+++ b/pkg/peer/effect.go
@@ -94,6 +94,9 @@
 // Request returns the call to make.
 func (s Store) Request() object.Request { return s.request }
 
+// Unwatch asks for the watches of documents in the store to end.
+type Unwatch struct{}
+
 // Reset asks for all links to be closed and all that they hold to be dropped, since this daemon stood still.
 type Reset struct{}
 
@@ -113,4 +116,6 @@
 
 func (Store) isEffect() {}
 
+func (Unwatch) isEffect() {}
+
 func (Reset) isEffect() {}
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -89,6 +89,18 @@
 // NewTell returns the event that data is to be told to the peer called name; it is lost if the peer is out of reach.
 func NewTell(name, topic string, data []byte) Tell { return Tell{name, topic, data} }
 
+// Watching says whether this daemon is to watch the documents that it follows in the store, rather than to hear of them.
+type Watching struct{ on bool }
+
+// NewWatching returns the event that this daemon is to watch its documents in the store, or not to.
+func NewWatching(on bool) Watching { return Watching{on} }
+
+// Push asks for a document to be sent to one peer at once.
+type Push struct{ name, document string }
+
+// NewPush returns the event that the peer called name is to get the document that is in force here under that name.
+func NewPush(name, document string) Push { return Push{name, document} }
+
 // Leaving says that this daemon is about to stop and takes no new callers.
 type Leaving struct{}
 
@@ -131,6 +143,10 @@
 
 func (Tell) isEvent() {}
 
+func (Watching) isEvent() {}
+
+func (Push) isEvent() {}
+
 func (Leaving) isEvent() {}
 
 func (Returning) isEvent() {}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -47,6 +47,7 @@
 	documents map[string]Document
 	follows   []*follow
 	requests  map[object.Ref]*follow
+	unwatched bool // documents are not to be watched in the store
 	nextRef   object.Ref
 	asked     map[string]asking
 
@@ -120,6 +121,10 @@
 		s.publish(e.document)
 	case Shared:
 		s.share(now, e)
+	case Watching:
+		s.watchDocuments(now, e.on)
+	case Push:
+		s.push(now, e)
 	case Tell:
 		s.tell(now, e)
 	case Leaving:
@@ -215,6 +220,14 @@
 	}
 }
 
+// push sends a document in force to one peer.
+func (s *State) push(now time.Time, e Push) {
+	m, d := s.members[s.names[e.name]], s.documents[e.document]
+	if m != nil && d.revision > 0 {
+		s.sendTo(now, m.name, m.address, Message{documents: []Document{d}})
+	}
+}
+
 // leave tells peers whether this daemon is about to stop.
 func (s *State) leave(now time.Time, leaving bool) {
 	if s.self.leaving == leaving {
--- a/pkg/peer/store.go
+++ b/pkg/peer/store.go
@@ -52,6 +52,25 @@
 	return nil
 }
 
+// watchDocuments begins or ends watching the documents in the store.
+func (s *State) watchDocuments(now time.Time, on bool) {
+	if s.unwatched == !on {
+		return
+	}
+	s.unwatched = !on
+	if on {
+		s.readDocuments(now)
+		return
+	}
+	for _, f := range s.follows {
+		if f.watching {
+			delete(s.requests, f.ref)
+			f.ref, f.watching, f.due = 0, false, now.Add(s.jitter(s.settings.Reread()))
+		}
+	}
+	s.emit(Unwatch{})
+}
+
 // unsettle makes this daemon ask afresh for all documents; what is in force stays in force until it has heard.
 func (s *State) unsettle(now time.Time) {
 	for _, f := range s.follows {
@@ -92,7 +111,7 @@
 // Reads reports whether this daemon is among those of its data centre that bring the document called name from the
 // platform to the others.
 func (s *State) Reads(now time.Time, name string) bool {
-	if !s.configured {
+	if !s.configured || s.unwatched {
 		return false
 	}
 	if s.settings.Readers() >= maxMembers {
