--- a/pkg/dispatch/burst.go
+++ b/pkg/dispatch/burst.go
@@ -49,10 +49,10 @@
 )
 
 // wait queues a call that no upstream has room for, if it can be served in time.
-func (s *State) wait(now time.Time, c *call, others int) {
-	expected := s.expectedWait(now, c)
+func (s *State) wait(now time.Time, up Upstreams, c *call, others int) {
+	expected := s.expectedWait(now, up, c)
 	if now.Add(expected).After(s.patienceOf(c)) {
-		s.giveUp(now, c, Overload, s.again(now, c))
+		s.giveUp(now, c, Overload, s.again(now, up, c))
 		return
 	}
 	if c.queued.IsZero() {
@@ -62,22 +62,37 @@
 	s.note(now, c, "queued", "", "", Inputs{heads: others, best: expected, waiting: len(s.queue)})
 }
 
-// expectedWait returns how long a call would wait behind those that are ahead of it, at the rate at which calls of its
-// kind began to be answered lately.
-func (s *State) expectedWait(now time.Time, c *call) time.Duration {
+// expectedWait returns how long a call would wait behind those that are ahead of it: at the rate at which calls of its
+// kind began to be answered lately, or at that which its upstreams can bear, since little is answered while little comes.
+func (s *State) expectedWait(now time.Time, up Upstreams, c *call) time.Duration {
 	ahead := 0
 	for _, other := range s.queue {
-		if other.kind() == c.kind() {
+		if other != c && other.kind() == c.kind() {
 			ahead++
 		}
 	}
-	per := s.rate(c.kind()).per(now)
+	per := max(s.rate(c.kind()).per(now), s.bearable(up, c))
 	if per <= 0 {
 		return 0
 	}
 	return time.Duration(float64(ahead) / per * float64(time.Second))
 }
 
+// bearable returns how many calls like c the upstreams can end in a second for this daemon, as one of those that share
+// them.
+func (s *State) bearable(up Upstreams, c *call) float64 {
+	engine, model := s.engineOf(c)
+	takes := engine.Step(model, engine.Slots())*time.Duration(c.output) + engine.Read(model, c.prompt)
+	if model.Name() == "" || takes <= 0 {
+		takes = processCost
+	}
+	per := 0.0
+	for _, t := range s.targets(up, c) {
+		per += float64(t.slots) / (takes.Seconds() * t.pace)
+	}
+	return per / float64(s.sharers)
+}
+
 // patienceOf returns until when a call may wait here.
 func (s *State) patienceOf(c *call) time.Time {
 	limit := time.Duration(waitOfGoal * float64(c.route.Goal()))
@@ -129,7 +144,7 @@
 		}
 		if now.After(s.patienceOf(c)) {
 			s.unqueue(c)
-			s.giveUp(now, c, Overload, s.again(now, c))
+			s.giveUp(now, c, Overload, s.again(now, up, c))
 		}
 	}
 }
@@ -144,9 +159,9 @@
 
 // again returns when a refused caller should come back: when those that wait now have been served, spread so that
 // refused callers don't return together.
-func (s *State) again(now time.Time, c *call) time.Duration {
+func (s *State) again(now time.Time, up Upstreams, c *call) time.Duration {
 	most := time.Duration(againOfWay * float64(c.ends.Sub(now)))
-	wait := max(s.expectedWait(now, c), minAgain)
+	wait := max(s.expectedWait(now, up, c), minAgain)
 	wait += time.Duration(s.random.Float64() * float64(wait))
 	return max(min(wait, most), 0)
 }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -128,9 +128,9 @@
 func (s *State) retry(now time.Time, up Upstreams, c *call) {
 	switch {
 	case c.runs > 0 && !c.route.Repeatable(), c.runs >= c.route.Attempts(), c.sends >= maxSends:
-		s.giveUp(now, c, Exhausted, s.again(now, c))
+		s.giveUp(now, c, Exhausted, s.again(now, up, c))
 	case !s.budget(c.service).repeat(now, s.settings.retries, s.sharers):
-		s.giveUp(now, c, BudgetSpent, s.again(now, c))
+		s.giveUp(now, c, BudgetSpent, s.again(now, up, c))
 	default:
 		s.place(now, up, c)
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -28,10 +28,10 @@
 		return
 	}
 	if others == 0 && !s.mayAppear(c) {
-		s.giveUp(now, c, NoUpstream, s.again(now, c))
+		s.giveUp(now, c, NoUpstream, s.again(now, up, c))
 		return
 	}
-	s.wait(now, c, others)
+	s.wait(now, up, c, others)
 }
 
 // mayAppear reports whether an upstream that takes the call may appear soon: the service or model is configured.
@@ -45,14 +45,8 @@
 
 // choose returns the best upstream with room for a call, and how many take such calls at all.
 func (s *State) choose(now time.Time, up Upstreams, c *call) (best choice, count int, isFound bool) {
-	var targets []Target
-	if s.isModel(c) {
-		targets = up.Replicas(c.model)
-	} else {
-		targets = up.Processes(c.service)
-	}
 	var open []choice
-	for _, t := range targets {
+	for _, t := range s.targets(up, c) {
 		if slices.Contains(c.tried, t.name) {
 			continue
 		}
@@ -79,6 +73,14 @@
 	return equal[s.random.IntN(len(equal))], count, true
 }
 
+// targets returns the upstreams that take a call.
+func (s *State) targets(up Upstreams, c *call) []Target {
+	if s.isModel(c) {
+		return up.Replicas(c.model)
+	}
+	return up.Processes(c.service)
+}
+
 // judge returns what is expected of a call at a target, and whether there is room for it.
 func (s *State) judge(now time.Time, c *call, t Target) (choice, bool) {
 	own := s.upstream(t.name)
@@ -132,7 +134,7 @@
 		organisation: c.organisation, priority: c.priority, left: c.ends.Sub(now), last: c.last,
 		kind: c.route.Kind(), silence: s.silenceOf(c, best.target),
 	})
-	s.note(now, c, "sent", best.target.name, "", Inputs{others, best.calls, best.cost, len(s.queue), now.Sub(best.own.reported)})
+	s.note(now, c, "sent", best.target.name, "", Inputs{others, best.calls, best.cost, len(s.queue), best.own.age(now)})
 }
 
 // The pauses after which a stream counts as silent.
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -79,6 +79,14 @@
 // reportAge is how long a report of load counts; requests last about two seconds.
 const reportAge = 2 * time.Second
 
+// age returns how old the last report is, 0 if there was none.
+func (u *upstream) age(now time.Time) time.Duration {
+	if u.reported.IsZero() {
+		return 0
+	}
+	return now.Sub(u.reported)
+}
+
 func (u *upstream) report(now time.Time, load Load) {
 	if !load.known {
 		return
--- a/pkg/gateway/hand.go
+++ b/pkg/gateway/hand.go
@@ -32,9 +32,7 @@
 	case peer.Learn:
 		s.learn(now, effect)
 	case peer.Told:
-		if effect.Topic() == listTopic {
-			s.takeLetter(now, effect)
-		}
+		s.told(now, effect)
 	case peer.Members:
 		s.members.live = effect.Members()
 	case peer.Send, peer.Reset, peer.Unwatch:
@@ -42,6 +40,16 @@
 	}
 }
 
+// told takes in what a peer tells this daemon alone.
+func (s *State) told(now time.Time, effect peer.Told) {
+	switch effect.Topic() {
+	case listTopic:
+		s.takeLetter(now, effect)
+	case demandTopic:
+		s.takeDemand(now, effect)
+	}
+}
+
 // learn takes in a soft fact of a peer.
 func (s *State) learn(now time.Time, fact peer.Learn) {
 	switch fact.Topic() {
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -191,17 +191,3 @@
 		s.toDispatch(now, dispatch.NewPeers(m.sharers))
 	}
 }
-
-// weigh tells the leader's plan how much work comes for each model.
-func (s *State) weigh(now time.Time) {
-	passed := now.Sub(s.weighed)
-	s.weighed = now
-	demand := s.dispatch.Demand()
-	if len(demand) == 0 || passed > 2*demandPeriod {
-		return
-	}
-	for model := range demand {
-		demand[model] *= float64(s.members.sharers) / passed.Seconds()
-	}
-	s.toReplica(now, replica.NewDemanded(demand))
-}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -42,6 +42,7 @@
 	stopped   bool
 	planned   time.Time
 	weighed   time.Time
+	demands   map[string]demanded // what daemons told this one as the leader
 	effects   []Effect
 }
 
@@ -83,6 +84,7 @@
 	s.identity = i
 	s.members = newMembers(now, i.name)
 	s.spread = newSpread(now)
+	s.demands = map[string]demanded{}
 	s.random = rand.New(rand.NewPCG(i.seed, gatewaySeed))
 	s.replica = replica.New(replica.NewSettings(i.record, i.name+"/"+i.start, i.seed).WithFirst(i.first))
 	s.dispatch = dispatch.New(dispatch.NewSettings(i.seed, i.retries))
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -6,7 +6,7 @@
 )
 
 // Event is something that the formation of replicas reacts to: Configured, Listed, Looked, Suspected, Buried, Ordered, Resulted,
-// Led, Demanded or Ticked.
+// Led, Demanded, Served or Ticked.
 type Event interface{ isEvent() }
 
 // Configured says what the engines can run.
@@ -98,6 +98,12 @@
 // NewDemanded returns the event that models get that much work, in replicas kept busy.
 func NewDemanded(work map[string]float64) Demanded { return Demanded{work} }
 
+// Served says that calls come: loads are not free any more, and replicas are not to be left waiting for them.
+type Served struct{}
+
+// NewServed returns the event that calls come.
+func NewServed() Served { return Served{} }
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -122,4 +128,6 @@
 
 func (Demanded) isEvent() {}
 
+func (Served) isEvent() {}
+
 func (Ticked) isEvent() {}
--- a/pkg/replica/far.go
+++ b/pkg/replica/far.go
@@ -44,7 +44,7 @@
 
 // formFar forms replicas across domains of instances that can join without the weight store.
 func (d *draft) formFar() {
-	if d.demand == nil {
+	if !d.serving {
 		return
 	}
 	for _, model := range d.neediest() {
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -33,7 +33,7 @@
 		s.advance(now, g)
 	}
 	s.closeStrays(now)
-	if now.Sub(s.arrived) < settleTime || s.demand != nil && now.Sub(s.since) < stagePause || now.Sub(s.staged) < planPeriod {
+	if now.Sub(s.arrived) < settleTime || s.serving && now.Sub(s.since) < stagePause || now.Sub(s.staged) < planPeriod {
 		return
 	}
 	s.staged = now
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -140,7 +140,7 @@
 // store, which takes so long that the other members do better elsewhere. While nothing is served yet, all can.
 func (d *draft) ready(domain string, model route.Model) []ID {
 	free := d.idle(domain, model)
-	if d.demand == nil || d.replicas(model) == 0 {
+	if !d.serving || d.replicas(model) == 0 {
 		return free
 	}
 	return free[:d.readyOf(free, model)]
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -20,7 +20,7 @@
 
 // mayLoad reports whether one more load may begin now, and counts it; before any call came, loads are free.
 func (s *State) mayLoad(now time.Time, part float64) bool {
-	if s.demand == nil && s.settings.first {
+	if !s.serving && s.settings.first {
 		return true
 	}
 	if most := s.engine.Loads(); most > 0 && float64(s.loading(now)) >= part*float64(most) {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -19,6 +19,7 @@
 	woken     time.Time          // last event
 	arrived   time.Time          // when an instance last came that was not known
 	demand    map[string]float64 // replicas that each model keeps busy, nil before any call came
+	serving   bool               // calls came
 	converted time.Time          // when instances last changed sides
 
 	leads   bool
@@ -94,7 +95,10 @@
 		s.resulted(now, e.result)
 	case Led:
 		s.led(now, e.leads)
+	case Served:
+		s.serving = true
 	case Demanded:
+		s.serving = true
 		s.demanded(e.work)
 	case Ticked:
 		s.lookAgain(now)
