gateway: Don't take a resumed stream that ends at once for whole

Ruled out: chunked answers, whose early end is an error. Change: without a frame, a resumed stream needs an event. Test: TestRelay.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,7 +54,7 @@
 	for {
 		event, id, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
-			if first && !e.begun {
+			if first && !(e.begun && isFramed(done.Response)) {
 				return errEmpty
 			}
 			return nil
@@ -80,6 +80,10 @@
 	}
 }
 
+// isFramed reports whether an answer tells where it ends, other than by the end of its connection. A resumed stream may
+// have nothing left, but a connection that ends at once says nothing.
+func isFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // head writes the head of an answer, once for all attempts.
 func (e *exchange) head(response *http.Response) {
 	if e.begun {
--- a/pkg/replica/shift.go
+++ b/pkg/replica/shift.go
@@ -12,8 +12,8 @@
 
 // How much higher the pressure on one model must be than on another before an instance changes sides.
 const (
-	repairMargin  = 1.1 // a repair brings a whole replica back for one instance
-	convertMargin = 1.3 // a conversion costs a few seconds of all its members
+	repairMargin  = 1.3 // a repair brings a whole replica back for one instance
+	convertMargin = 1.5 // a conversion costs a few seconds of all its members
 )
 
 // convertPause is the time between two conversions, in which the effect of the last one shows in the demand.
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -15,7 +15,7 @@
 // does not know of the loads that the one before began.
 const (
 	stagePart  = 0.5 // the rest is for replicas that can't serve without it
-	stagePause = 5 * time.Second
+	stagePause = 2 * time.Second
 )
 
 // mayLoad reports whether one more load may begin now, and counts it; before any call came, loads are free.
