dispatch: Let those wait longest that cause the waiting

Cause: in a replayed burst of twice the capacity requests were served in the order of their arrival, all of them late; an organisation that floods took every place, and a small one beside it was refused after 1.5 s.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,7 +95,7 @@
 }
 
 func (e *exchange) lost(ctx context.Context, send dispatch.Send, sent bool, err error) {
-	failure := dispatch.Reset
+	failure := dispatch.Interrupted
 	if !sent {
 		failure = dispatch.NotSent
 	}
@@ -139,7 +139,7 @@
 	if err != nil {
 		done.Abort()
 		e.daemon.log.Line("upstream", "answer cut", "id", e.name, "upstream", send.Upstream(), "err", err.Error())
-		e.report(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Reset))
+		e.report(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Interrupted))
 		return false
 	}
 	header := done.Response.Header.Clone()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		done.Abort()
 		e.daemon.log.Line("upstream", "stream cut", "id", e.name, "upstream", send.Upstream(), "last", e.last, "err", err.Error())
-		e.report(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Reset))
+		e.report(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Interrupted))
 		return false
 	}
 	done.Close()
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -62,14 +62,14 @@
 	Errored
 	// Garbled says that what came was no whole answer to the request.
 	Garbled
-	// Reset says that the connection ended before the whole answer.
-	Reset
+	// Interrupted says that the connection ended before the whole answer.
+	Interrupted
 	// Halted says that the attempt was ended by a Cancel effect.
 	Halted
 )
 
 var failureNames = [...]string{
-	"none", "not sent", "not run", "misdirected", "errored", "garbled", "reset", "halted",
+	"none", "not sent", "not run", "misdirected", "errored", "garbled", "interrupted", "halted",
 }
 
 // String returns the name of the failure.
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -55,6 +55,9 @@
 	delete(s.attempts, a.id)
 	a.own.end(now)
 	a.call.attempt = nil
+	if s.running[a.call.organisation]--; s.running[a.call.organisation] <= 0 {
+		delete(s.running, a.call.organisation)
+	}
 }
 
 func (s *State) end(now time.Time, up Upstreams, id Attempt) {
@@ -113,7 +116,7 @@
 		a.own.failures++
 		a.own.avoid = now.Add(failurePause)
 		s.emit(Suspect{a.target(), "no connection"})
-	case Reset:
+	case Interrupted:
 		a.own.failures++
 		s.emit(Suspect{a.target(), "connection reset"})
 	case Misdirected:
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -23,7 +23,7 @@
 // place sends a call to the upstream where its answer is expected first, queues it if none has room, or refuses it.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
 	best, others, isFound := s.choose(now, up, c)
-	if isFound {
+	if isFound && (s.plain || !s.hasWaiting(c)) {
 		s.send(now, c, best, others)
 		return
 	}
@@ -32,6 +32,14 @@
 		return
 	}
 	s.wait(now, up, c, others)
+	if isFound {
+		s.serveQueue(now, up)
+	}
+}
+
+// hasWaiting reports whether other calls wait for the same upstreams; a new one must not take a place before them.
+func (s *State) hasWaiting(c *call) bool {
+	return slices.ContainsFunc(s.queue, func(other *call) bool { return other != c && other.kind() == c.kind() })
 }
 
 // mayAppear reports whether an upstream that takes the call may appear soon: the service or model is configured.
@@ -125,6 +133,7 @@
 	a := &attempt{id: s.last, call: c, own: best.own, at: now}
 	s.attempts[a.id] = a
 	best.own.begin(now, c.prompt)
+	s.running[c.organisation]++
 	c.attempt = a
 	c.sends++
 	c.tried = append(c.tried, best.target.name)
--- /dev/null
+++ b/pkg/dispatch/retry_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestAtMostOnce(t *testing.T) {
+	Convey("A call that must not be repeated", t, func() {
+		r := newReplay(3, 1)
+
+		Convey("is sent once whatever may have run, and is not said to be not run", func() {
+			for _, failure := range []Failure{Interrupted, Garbled} {
+				r.lose = func(Send) Failure { return failure }
+				id := ID(failure)
+				r.arrive(id, "large", "/issue/x")
+				r.run(2 * time.Second)
+				So(r.sends[id], ShouldEqual, 1)
+				So(r.refused[id], ShouldBeFalse)
+				So(r.failed, ShouldContainKey, id)
+			}
+		})
+
+		Convey("is sent again where it certainly did not run, and may then be refused", func() {
+			r.lose = func(Send) Failure { return NotRun }
+			r.arrive(1, "large", "/issue/x")
+			r.run(2 * time.Second)
+			So(r.sends[1], ShouldBeGreaterThan, 1)
+			So(r.refused[1], ShouldBeTrue)
+		})
+	})
+
+	Convey("A read runs at two upstreams at most", t, func() {
+		r := newReplay(5, 1)
+		r.lose = func(Send) Failure { return Interrupted }
+		r.arrive(1, "large", "/read/x")
+		r.run(2 * time.Second)
+		So(r.sends[1], ShouldEqual, 2)
+	})
+}
+
+func TestResume(t *testing.T) {
+	Convey("A stream at a replica that broke goes on elsewhere, after the last event that the caller has", t, func() {
+		r := newReplay(2, 1)
+		r.arrive(1, "large", "/draft/x")
+		r.run(200 * time.Millisecond)
+		var first Send
+		for _, send := range r.begun {
+			first = send
+		}
+		r.feed(NewBroke(first.Upstream()))
+		r.feed(NewFailed(first.Attempt(), Halted).WithProgress("7"))
+		r.run(10 * time.Millisecond)
+		So(r.sends[1], ShouldEqual, 2)
+		for _, send := range r.begun {
+			if send.Attempt() != first.Attempt() {
+				So(send.Upstream(), ShouldNotEqual, first.Upstream())
+				So(send.Last(), ShouldEqual, "7")
+			}
+		}
+	})
+}
+
+func TestBudget(t *testing.T) {
+	Convey("All daemons together send again no more than the budget allows", t, func() {
+		var b budget
+		limits := NewRetries(0.2, 100, 10*time.Second)
+		sharers, sent := 7, 0
+		for range 100 {
+			if b.repeat(epoch, limits, sharers) {
+				sent++
+			}
+		}
+		So(float64(sent*sharers), ShouldBeLessThanOrEqualTo, 100)
+		So(sent, ShouldBeGreaterThan, 0)
+		So(b.repeat(epoch.Add(11*time.Second), limits, sharers), ShouldBeTrue)
+	})
+}
+
+func TestTimeout(t *testing.T) {
+	Convey("A request that is still running at its route's timeout is answered then, and its work is ended", t, func() {
+		r := newReplay(1, 1)
+		r.arrive(1, "large", "/issue/x")
+		r.lose = func(Send) Failure { return NoFailure }
+		for _, send := range r.begun {
+			delete(r.begun, send.Attempt())
+		}
+		r.later = nil // the upstream never answers
+		r.run(1100 * time.Millisecond)
+		So(r.failed[1], ShouldEqual, Timeout)
+	})
+}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -26,6 +26,8 @@
 	cleaned   time.Time
 	demand    map[string]float64 // work that came for each model since the last look, in replica-seconds
 	rates     map[string]*rate
+	running   map[string]int // attempts of each organisation
+	plain     bool           // calls wait in the order of their arrival, for comparison
 	effects   []Effect
 }
 
@@ -49,6 +51,7 @@
 		budgets:   map[string]*budget{},
 		demand:    map[string]float64{},
 		rates:     map[string]*rate{},
+		running:   map[string]int{},
 		sharers:   1,
 	}
 }
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -58,6 +58,7 @@
 	}
 	head := s.nodes[g.members[0].id]
 	if ready && head.member.phase == Ready {
+		delete(s.ended, formation{g.name, g.epoch}) // the order may be carried out though it is not answered
 		s.send(now, head, Order{verb: Opening, replica: g.name, epoch: g.epoch}, s.engine.Form())
 	}
 }
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -109,8 +109,6 @@
 			rank := slices.Index(e.order.members, n.id)
 			n.place(now, NewMembership(f.replica, f.epoch, rank, Joining))
 		}
-	case Opening:
-		delete(s.ended, f)
 	case Cut, Drain:
 		s.ended[f] = s.ended[f] || e.order.verb == Cut || e.reply == Done
 		if n.member.isOf(f.replica, f.epoch) && n.member.phase == Open {
