--- a/pkg/peer/evidence.go
+++ b/pkg/peer/evidence.go
@@ -177,7 +177,7 @@
 	}
 	m.holdsAt = m.beatAt
 	for _, c := range m.claims {
-		if !c.isKnown(m.holdsAt, s.beatInterval()/sightShare) {
+		if !c.isKnown(m.holdsAt, s.BeatInterval()/sightShare) {
 			s.judge(now, c.of)
 		}
 	}
@@ -223,7 +223,7 @@
 	}
 	s.question(now, belief, u)
 	same := belief.entry.sameState(u.sighted.entry) && !u.sightedAt.IsZero()
-	if same && at.Sub(u.sightedAt) < s.beatInterval()/sightShare {
+	if same && at.Sub(u.sightedAt) < s.BeatInterval()/sightShare {
 		return
 	}
 	if at.Before(u.sightedAt) {
@@ -284,7 +284,7 @@
 }
 
 // contradiction is by how much the misses of two watchers must be later than the answer seen by a third.
-func (s *State) contradiction() time.Duration { return s.beatInterval() + s.settings.Probe() }
+func (s *State) contradiction() time.Duration { return s.BeatInterval() + s.settings.Probe() }
 
 func (e entry) sameState(other entry) bool {
 	e.age, other.age, e.primary, other.primary = 0, 0, false, false
--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -58,17 +58,14 @@
 	return handle(uint32(xxhash.Sum64(data)))
 }
 
-// beatInterval returns the time between two beats of one daemon.
 // BeatInterval returns the interval between two beats of one daemon.
-func (s *State) BeatInterval() time.Duration { return s.beatInterval() }
-
-func (s *State) beatInterval() time.Duration {
+func (s *State) BeatInterval() time.Duration {
 	return min(max(minBeat, time.Duration(len(s.roster))*beatPerMember), maxBeat)
 }
 
 // Freshness returns the age beyond which evidence counts for nothing.
 func (s *State) Freshness() time.Duration {
-	return max(minFresh, freshBeats*s.beatInterval())
+	return max(minFresh, freshBeats*s.BeatInterval())
 }
 
 func (s *State) fresh(now, at time.Time) bool {
@@ -103,7 +100,7 @@
 
 // beat makes the next beat of this daemon.
 func (s *State) beat(now time.Time) {
-	s.beatDue = now.Add(s.beatInterval())
+	s.beatDue = now.Add(s.BeatInterval())
 	s.dropSilentClaims(now)
 	s.self.sequence++
 	s.self.version = s.self.statement
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -81,7 +81,7 @@
 	if !s.heard {
 		return now.Sub(s.awake) >= aloneAfter
 	}
-	return now.Sub(s.awake) >= warmUp+s.beatInterval()
+	return now.Sub(s.awake) >= warmUp+s.BeatInterval()
 }
 
 // watch begins or ends the watch of an upstream; place is this daemon's place among its watchers, negative for none.
