--- a/pkg/gateway/spread.go
+++ b/pkg/gateway/spread.go
@@ -17,9 +17,9 @@
 
 // The times of letters about the list.
 const (
-	askPeriod   = time.Second             // a reader forgets who has not asked three times
-	askedKept   = 3 * askPeriod           //
-	sourceLost  = 2500 * time.Millisecond // two answers may be lost
+	askPeriod   = 400 * time.Millisecond  // an upstream that leaves gets no new work after two seconds
+	askedKept   = 3 * time.Second         // a reader forgets who has not asked for so long
+	sourceLost  = 1200 * time.Millisecond // two answers may be lost
 	tellPeriod  = 75 * time.Millisecond   // changes come in bursts; a repair takes some two seconds
 	switchPause = 500 * time.Millisecond  // before another reader is asked
 )
