gateway: Take a removed upstream for gone in time, whoever tells the list

Change: only an outage of the store keeps lapsed entries for two seconds, and a daemon does not read the list for others meanwhile, though it may lead; what another reader's list lacks goes after one second.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,12 +8,25 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 )
 
+// watchSilence reports each time that the ticker, which every event sets back, runs out, and how often it did in a row.
+func (d *Daemon) watchSilence(attempt dispatch.Attempt, silent *time.Ticker, pauses *atomic.Int32, whole <-chan struct{}) {
+	for {
+		select {
+		case <-whole:
+			return
+		case <-silent.C:
+			d.feedDispatch(dispatch.NewSilenced(attempt, int(pauses.Add(1))))
+		}
+	}
+}
+
 // maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 1 << 20
 
@@ -27,9 +40,16 @@
 // stream passes on the events of an answer as they come, and reports whether the caller has all of them.
 func (e *exchange) stream(ctx context.Context, send dispatch.Send, done *transport.Exchange, v Verdict) bool {
 	e.daemon.feedDispatch(dispatch.NewStarted(send.Attempt(), v.Load))
-	silent := time.AfterFunc(send.Silence(), func() { e.daemon.feedDispatch(dispatch.NewSilenced(send.Attempt())) })
+	silent := time.NewTicker(send.Silence())
 	defer silent.Stop()
+	stop := context.AfterFunc(ctx, silent.Stop)
+	defer stop()
+	whole := make(chan struct{})
+	defer close(whole)
+	var pauses atomic.Int32
+	go e.daemon.watchSilence(send.Attempt(), silent, &pauses, whole)
 	err := e.relay(done, func(first bool) {
+		pauses.Store(0)
 		silent.Reset(send.Silence())
 		if first {
 			e.daemon.feedDispatch(dispatch.NewFlowed(send.Attempt()))
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -94,6 +94,5 @@
 	own     *upstream
 	at      time.Time
 	started bool
-	silent  bool
 	cut     bool
 }
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -33,11 +33,14 @@
 // NewFlowed returns the event that the first event of an attempt came.
 func NewFlowed(attempt Attempt) Flowed { return Flowed{attempt} }
 
-// Silenced says that a stream brought nothing for the time that its Send named.
-type Silenced struct{ attempt Attempt }
+// Silenced says that a stream brought nothing for the time that its Send named; it comes again each time that it passes.
+type Silenced struct {
+	attempt Attempt
+	pauses  int
+}
 
-// NewSilenced returns the event that an attempt fell silent.
-func NewSilenced(attempt Attempt) Silenced { return Silenced{attempt} }
+// NewSilenced returns the event that an attempt brought nothing for that many pauses in a row.
+func NewSilenced(attempt Attempt, pauses int) Silenced { return Silenced{attempt, pauses} }
 
 // Ended says that the caller has the whole answer of an attempt.
 type Ended struct{ attempt Attempt }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -33,19 +33,26 @@
 }
 
 func (s *State) readPrompt(a *attempt) {
-	if !a.silent || a.own.unread > 0 {
-		a.own.unread = max(a.own.unread-a.call.prompt, 0)
-	}
+	a.own.unread = max(a.own.unread-a.call.prompt, 0)
 }
 
-// silence suspects the upstream of a stream that fell silent.
-func (s *State) silence(id Attempt) {
-	a := s.attempts[id]
+// silenceMost is after how many pauses a stream that may go on elsewhere is taken from its replica, though all its members
+// answer: one may be cut off from the others. The pauses together stay below the two seconds after which callers give up.
+const silenceMost = 4
+
+// silence suspects the upstream of a stream that fell silent, and takes the stream away if it stays so.
+func (s *State) silence(e Silenced) {
+	a := s.attempts[e.attempt]
 	if a == nil {
 		return
 	}
-	a.silent = true
-	s.emit(Suspect{a.target(), "a stream fell silent"})
+	if e.pauses == 1 {
+		s.emit(Suspect{a.target(), "a stream fell silent"})
+	}
+	if e.pauses >= silenceMost && a.call.route.Repeatable() && !a.cut && a.call.runs+1 < a.call.route.Attempts() {
+		a.cut = true
+		s.emit(Cancel{a.id})
+	}
 }
 
 func (a *attempt) target() string { return a.call.tried[len(a.call.tried)-1] }
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -150,7 +150,6 @@
 const (
 	silencePasses = 3                      // passes that a stream may miss: prompts of others are read between them
 	minSilence    = 250 * time.Millisecond // several large prompts in one pass take that long
-	firstSilence  = 700 * time.Millisecond // a first event also waits for the queue of the replica
 )
 
 // silenceOf returns the pause after which a stream counts as silent.
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+func TestStandstill(t *testing.T) {
+	Convey("A stream that stands still although its replica looks alive goes on elsewhere within two seconds", t, func() {
+		r := newReplay(2, 1)
+		r.arrive(1, "large", "/draft/x")
+		r.run(200 * time.Millisecond)
+		var first Send
+		for _, send := range r.begun {
+			first = send
+		}
+		r.later = nil // no more events
+		waited, pauses := time.Duration(0), 0
+		for r.sends[1] < 2 && waited < 2*time.Second {
+			r.run(first.Silence())
+			waited += first.Silence()
+			pauses++
+			r.feed(NewSilenced(first.Attempt(), pauses))
+			r.run(5 * time.Millisecond)
+		}
+		So(r.sends[1], ShouldEqual, 2)
+		So(waited, ShouldBeLessThan, 2*time.Second)
+	})
+}
+
 func TestBudget(t *testing.T) {
 	Convey("All daemons together send again no more than the budget allows", t, func() {
 		var b budget
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -72,7 +72,7 @@
 	case Flowed:
 		s.flow(now, e.attempt)
 	case Silenced:
-		s.silence(e.attempt)
+		s.silence(e)
 	case Ended:
 		s.end(now, up, e.attempt)
 	case Failed:
--- a/pkg/gateway/hand.go
+++ b/pkg/gateway/hand.go
@@ -54,9 +54,9 @@
 func (s *State) learn(now time.Time, fact peer.Learn) {
 	switch fact.Topic() {
 	case outageTopic:
-		s.members.outage[fact.Origin()] = fact.Expiry()
-		if len(fact.Value()) == 0 {
-			delete(s.members.outage, fact.Origin())
+		delete(s.members.outage, fact.Origin())
+		if len(fact.Value()) > 0 {
+			s.members.outage[fact.Origin()] = outage{fact.Value()[0], fact.Expiry()}
 		}
 		s.members.checked = time.Time{}
 	case deadTopic:
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -8,28 +8,31 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-// returnTime is how long after an outage of the store lapsed entries of living instances may still come back (the
-// platform says two seconds).
-const returnTime = 2 * time.Second
+// The times for which entries that are missing are kept.
+const (
+	// returnTime is how long after an outage of the store lapsed entries of living instances may still come back (the
+	// platform says two seconds).
+	returnTime = 2 * time.Second
+	// otherTime is how long an entry that another reader's list lacks is kept: that reader may have started during an
+	// outage. It leaves half of the time within which an upstream that leaves gets no new work.
+	otherTime = time.Second
+)
 
 // listing is the platform's list of upstreams, without forgetting those that lapsed while the store was away.
 type listing struct {
 	entries  map[replica.ID]Upstream
-	absent   map[replica.ID]bool
+	absent   map[replica.ID]time.Time // when they are to be taken as gone
 	known    bool
 	broken   bool
-	regained time.Time
+	regained time.Time // when the store answered this daemon again
 }
 
-// take applies what the platform lists and returns what changed.
-func (l *listing) take(now time.Time, e Listed) (changed []Upstream, gone []replica.ID) {
+// take applies what the platform lists and returns what changed; an entry that the whole list lacks is kept for a while.
+func (l *listing) take(now time.Time, e Listed, missing time.Duration) (changed []Upstream, gone []replica.ID) {
 	if l.entries == nil {
-		l.entries, l.absent = map[replica.ID]Upstream{}, map[replica.ID]bool{}
-	}
-	if l.broken {
-		l.broken, l.regained = false, now
+		l.entries, l.absent = map[replica.ID]Upstream{}, map[replica.ID]time.Time{}
 	}
-	l.known = true
+	l.known, l.broken = true, false
 	listed := map[replica.ID]bool{}
 	for _, u := range e.upstreams {
 		id := u.instance.ID()
@@ -39,27 +42,44 @@
 		changed = append(changed, u)
 	}
 	for _, id := range e.gone {
-		l.absent[id] = true
+		l.absent[id] = l.returns()
 	}
 	if e.whole {
 		for id := range l.entries {
-			if !listed[id] {
-				l.absent[id] = true
+			if _, isAbsent := l.absent[id]; !listed[id] && !isAbsent {
+				l.absent[id] = later(l.returns(), now.Add(missing))
 			}
 		}
 	}
 	return changed, l.expire(now)
 }
 
+// returns is the time until which lapsed entries may still come back.
+func (l *listing) returns() time.Time { return l.regained.Add(returnTime) }
+
+// isReturning reports whether lapsed entries may still come back.
+func (l *listing) isReturning(now time.Time) bool { return now.Before(l.returns()) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // expire returns the entries that are to be taken as gone.
 func (l *listing) expire(now time.Time) []replica.ID {
-	if len(l.absent) == 0 || l.broken || now.Sub(l.regained) < returnTime {
+	if l.broken {
 		return nil
 	}
-	gone := slices.Sorted(maps.Keys(l.absent))
-	for _, id := range gone {
+	var gone []replica.ID
+	for _, id := range slices.Sorted(maps.Keys(l.absent)) {
+		if now.Before(l.absent[id]) {
+			continue
+		}
+		gone = append(gone, id)
+		delete(l.absent, id)
 		delete(l.entries, id)
 	}
-	clear(l.absent)
 	return gone
 }
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -35,9 +35,10 @@
 	self     string
 	began    time.Time
 	live     []peer.Member
-	cut      map[string]bool      // the link broke and nothing came since
-	outage   map[string]time.Time // until when a peer is known not to reach the store
-	out      bool                 // the store can't be reached from here
+	cut      map[string]bool   // the link broke and nothing came since
+	outage   map[string]outage // of peers that do not reach the store, or did not a moment ago
+	reach    byte              // what peers were told of this daemon
+	out      bool              // the store can't be reached from here
 	told     time.Time
 	checked  time.Time
 	first    string    // who is to lead
@@ -51,7 +52,7 @@
 
 func newMembers(now time.Time, self string) members {
 	return members{
-		self: self, began: now, cut: map[string]bool{}, outage: map[string]time.Time{}, counts: map[string]time.Time{},
+		self: self, began: now, cut: map[string]bool{}, outage: map[string]outage{}, counts: map[string]time.Time{},
 	}
 }
 
@@ -62,23 +63,41 @@
 		return
 	}
 	m.checked = now
-	if s.members.out && now.Sub(m.told) >= outageTell {
-		s.tellOutage(now, true)
+	if reach := s.reach(now); reach != m.reach || reach != reachAll && now.Sub(m.told) >= outageTell {
+		s.tellReach(now)
 	}
 	fresh := s.freshMembers(now)
 	ranking := s.rank(now, fresh)
-	s.chooseReaders(ranking)
+	s.chooseReaders(now, ranking)
 	s.chooseLeader(now, ranking)
 	s.advertise(fresh)
 	s.countSharers(now, fresh)
 }
 
-// tellOutage tells peers that this daemon does not reach the store, or that it does again.
-func (s *State) tellOutage(now time.Time, isOut bool) {
-	s.members.told = now
-	value := []byte{}
-	if isOut {
-		value = []byte{1}
+// How far a daemon reaches the store.
+const (
+	reachAll  = byte(iota)
+	reachNone // it neither leads nor reads the list
+	reachLate // it leads, but lapsed entries may still come back to its list
+)
+
+func (s *State) reach(now time.Time) byte {
+	switch {
+	case s.members.out:
+		return reachNone
+	case s.listing.isReturning(now):
+		return reachLate
+	}
+	return reachAll
+}
+
+// tellReach tells peers how far this daemon reaches the store.
+func (s *State) tellReach(now time.Time) {
+	m := &s.members
+	m.told, m.reach = now, s.reach(now)
+	var value []byte
+	if m.reach != reachAll {
+		value = []byte{m.reach}
 	}
 	s.toPeer(now, peer.NewShared(outageTopic, "", value, now.Add(outageFact)))
 }
@@ -91,7 +110,7 @@
 		able = append(able, s.ownMember()...)
 	}
 	for _, one := range fresh {
-		if !one.Leaving() && !now.Before(s.members.outage[one.Name()]) {
+		if !one.Leaving() && s.reachOf(now, one.Name()) != reachNone {
 			able = append(able, one)
 		}
 	}
@@ -105,6 +124,23 @@
 	return names
 }
 
+// outage is what a peer told of its reach of the store.
+type outage struct {
+	reach byte
+	until time.Time
+}
+
+// reachOf returns how far a daemon reaches the store, as far as is known.
+func (s *State) reachOf(now time.Time, name string) byte {
+	if name == s.members.self {
+		return s.reach(now)
+	}
+	if told := s.members.outage[name]; now.Before(told.until) {
+		return told.reach
+	}
+	return reachAll
+}
+
 // ownMember returns this daemon as its peers see it.
 func (s *State) ownMember() []peer.Member {
 	for _, one := range s.members.live {
@@ -116,9 +152,10 @@
 }
 
 // chooseReaders makes the first daemons read the platform's list of upstreams.
-func (s *State) chooseReaders(ranking []string) {
+func (s *State) chooseReaders(now time.Time, ranking []string) {
 	m := &s.members
-	first := ranking[:min(readers, len(ranking))]
+	able := slices.DeleteFunc(slices.Clone(ranking), func(name string) bool { return s.reachOf(now, name) != reachAll })
+	first := able[:min(readers, len(able))]
 	m.isReader = slices.Contains(first, m.self)
 	m.readers = slices.DeleteFunc(slices.Clone(first), func(name string) bool { return name == m.self })
 }
--- a/pkg/gateway/spread.go
+++ b/pkg/gateway/spread.go
@@ -176,10 +176,7 @@
 		s.listing.broken = true
 		return
 	}
-	if l.whole && s.listing.known {
-		s.listing.regained = now // another reader may not know of entries that lapsed
-	}
-	changed, gone := s.listing.take(now, Listed{l.changed, l.gone, l.whole})
+	changed, gone := s.listing.take(now, Listed{l.changed, l.gone, l.whole}, otherTime)
 	s.relist(now, changed, gone)
 	s.refreshReady()
 }
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -93,7 +93,7 @@
 		WithBackoff(storeBackoff).
 		WithReaders(math.MaxInt).
 		WithFollows(peer.NewFollow(configDocument, i.config, i.field))))
-	s.toPeer(now, peer.NewShared(outageTopic, "", []byte{1}, now.Add(youngFact)))
+	s.toPeer(now, peer.NewShared(outageTopic, "", []byte{reachNone}, now.Add(youngFact)))
 }
 
 // reload takes over what may change while the process runs.
@@ -158,9 +158,10 @@
 	}
 	if s.members.out {
 		s.members.out = false
-		s.tellOutage(now, false)
+		s.listing.regained = now
+		s.tellReach(now)
 	}
-	changed, gone := s.listing.take(now, e)
+	changed, gone := s.listing.take(now, e, 0)
 	s.relist(now, changed, gone)
 	s.refreshReady()
 }
@@ -172,7 +173,7 @@
 	}
 	s.members.out = true
 	s.members.checked = time.Time{}
-	s.tellOutage(now, true)
+	s.tellReach(now)
 	if !s.isTold(now) {
 		s.listing.broken = true
 	}
