--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	named "github.com/azurepond/azurepond/internal/metrics"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/gateway"
 	"github.com/azurepond/azurepond/pkg/object"
@@ -17,6 +18,9 @@
 	orderTimeout = 200 * time.Millisecond // as long as the quickest order takes to be carried out
 )
 
+// leading is the value of the metric that tells whether this daemon leads.
+var leading = map[bool]int64{true: 1}
+
 // execute carries out one effect; what takes time runs beside the reducer and comes back as an event.
 func (d *Daemon) execute(effect gateway.Effect) {
 	switch effect := effect.(type) {
@@ -44,6 +48,7 @@
 	case gateway.Problem:
 		d.log.Line("daemon", effect.What(), "reason", effect.Reason())
 	case gateway.Led:
+		d.recorder.Gauge(named.Leading, leading[effect.Leads()])
 		d.log.Line("replica", "leader", "leader", effect.Leader(), "self", effect.Leads())
 	case gateway.ToPeer:
 		d.toPeer(effect.Effect())
@@ -107,7 +112,9 @@
 		return
 	}
 	d.config.Store(&config)
+	d.recorder.Gauge(named.Revision, int64(config.Revision()))
 	d.log.Line("config", "in force", "revision", config.Revision())
+	d.recorder.Gauge(named.Revision, int64(config.Revision()))
 	go d.feed(gateway.NewDecoded(config))
 }
 
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -118,5 +118,6 @@
 func Catalog() []Metric {
 	return append([]Metric{
 		Calls, Reasons, Flight, First, Whole, Retries, Downtime, Stranding, Wanted, Replicas, Revision, Store, Members,
+		Requests, Answer, QueueWait, Orders, Looks, Connections, LinesDropped, Leading,
 	}, link...)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -140,15 +140,21 @@
 	err := s.fleet.Store.Write("config", "main", o{
 		"version": version,
 		"routes": []any{
-			o{"name": "draft", "host": "p", "path-prefix": "/draft/", "type": "stream", "timeout-ms": 4000, "goal-ms": 500,
-				"service": "engines", "attempts": 2, "resumable": true, "public": true},
-			o{"name": "issue", "host": "p", "path-prefix": "/issue/", "type": "non_idempotent", "timeout-ms": 2000,
-				"goal-ms": 500, "service": "desk", "attempts": 1, "public": true},
+			o{
+				"name": "draft", "host": "p", "path-prefix": "/draft/", "type": "stream", "timeout-ms": 4000, "goal-ms": 500,
+				"service": "engines", "attempts": 2, "resumable": true, "public": true,
+			},
+			o{
+				"name": "issue", "host": "p", "path-prefix": "/issue/", "type": "non_idempotent", "timeout-ms": 2000,
+				"goal-ms": 500, "service": "desk", "attempts": 1, "public": true,
+			},
 		},
 		"services": []any{
-			o{"name": "engines", "runtime": o{"slots": 8, "stride": 5, "step_ms": 1, "per_seq_ms": 0.1, "read_per_s": 46000,
+			o{"name": "engines", "runtime": o{
+				"slots": 8, "stride": 5, "step_ms": 1, "per_seq_ms": 0.1, "read_per_s": 46000,
 				"form-ms": 50, "loads-per-s": 100, "loads_at_once": 100, "far_x": 2,
-				"models": []any{o{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 0.1, "warm-s": 0.05}}}},
+				"models": []any{o{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 0.1, "warm-s": 0.05}},
+			}},
 			o{"name": "desk"},
 		},
 	})
--- a/pkg/gateway/letter.go
+++ b/pkg/gateway/letter.go
@@ -55,7 +55,8 @@
 	}
 	return []any{
 		u.service, u.slots, string(i.ID()), i.Address(), i.Centre(), i.Domain(), i.Born(), i.Leaving(), i.Loaded(), staged,
-		m.Replica(), m.Epoch(), []any{m.Rank(), uint8(m.Phase())},
+		m.Replica(), m.Epoch(),
+		[]any{m.Rank(), uint8(m.Phase())},
 	}
 }
 
