--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -114,7 +114,7 @@
 	d.config.Store(&config)
 	d.recorder.Gauge(named.Revision, int64(config.Revision()))
 	d.log.Line("config", "in force", "revision", config.Revision())
-	d.recorder.Gauge(named.Revision, int64(config.Revision()))
+	// The reducer's own goroutine must not wait for room in its queue; an older configuration that comes later is ignored.
 	go d.feed(gateway.NewDecoded(config))
 }
 
--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -18,9 +18,9 @@
 		"waiting", in.Waiting(), "age", in.Age())
 	d.recorder.Decided(n.Route(), n.What(), n.Reason())
 	switch n.What() {
-	case "sent":
+	case dispatch.NoteSent:
 		d.recorder.Sent(n.Route(), n.After())
-	case "answered":
+	case dispatch.NoteAnswered:
 		d.recorder.Answered(n.Route(), n.After())
 	}
 }
--- a/pkg/dispatch/burst.go
+++ b/pkg/dispatch/burst.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -60,7 +59,7 @@
 		c.queued = now
 	}
 	s.queue = append(s.queue, c)
-	s.note(now, c, "queued", "", "", Inputs{heads: others, best: expected, waiting: len(s.queue)})
+	s.note(now, c, NoteQueued, "", "", Inputs{heads: others, best: expected, waiting: len(s.queue)})
 }
 
 // expectedWait returns how long a call would wait behind those that are ahead of it: at the rate at which calls of its
@@ -138,41 +137,6 @@
 	}
 }
 
-// compare orders calls that wait: those whose callers have the beginning of an answer, those of an organisation that has
-// far less than its part, those that can be on time, the more urgent, those of the organisation that runs least here, the
-// older.
-func (s *State) compare(now time.Time, a, b *call) int {
-	return cmp.Or(
-		cmp.Compare(asNumber(b.started), asNumber(a.started)),
-		cmp.Compare(asNumber(s.isShort(b)), asNumber(s.isShort(a))),
-		cmp.Compare(s.lateness(now, a), s.lateness(now, b)),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(s.running[a.organisation], s.running[b.organisation]),
-		a.arrived.Compare(b.arrived),
-	)
-}
-
-// shortPart is below which part of an even share an organisation counts as short of it; organisations differ in size, so
-// that most are below an even share.
-const shortPart = 0.5
-
-// isShort reports whether the organisation of a call runs far less here than an even share: it is not what causes the
-// others to wait.
-func (s *State) isShort(c *call) bool {
-	all := 0
-	for _, running := range s.running {
-		all += running
-	}
-	return float64(s.running[c.organisation]*len(s.running)) < shortPart*float64(all)
-}
-
-func asNumber(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // lateness returns 1 for a call that can only be late, which gives way to those that can be on time, else 0.
 func (s *State) lateness(now time.Time, c *call) int {
 	if now.Sub(c.arrived) > time.Duration(waitOfGoal*float64(c.route.Goal())) {
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -72,17 +72,15 @@
 	priority     int
 	ends         time.Time // after which nobody waits for an answer
 
-	attempt  *attempt // that runs now
-	sends    int
-	runs     int // attempts that may have run
-	tried    []string
-	started  bool   // the caller has the beginning of an answer
-	last     string // id of the last event that the caller has
-	queued   time.Time
-	halted   verdict // what to answer once the attempt has ended, nil while it may go on
-	held     bool    // the last attempt holds an upstream's answer that can be passed on
-	failure  Failure // how the last attempt failed
-	returned bool    // counts against the retry budget from now on
+	attempt *attempt // that runs now
+	sends   int
+	runs    int // attempts that may have run
+	tried   []string
+	started bool   // the caller has the beginning of an answer
+	last    string // id of the last event that the caller has
+	queued  time.Time
+	halted  verdict // what to answer once the attempt has ended, nil while it may go on
+	held    bool    // the last attempt holds an upstream's answer that can be passed on
 }
 
 type verdict = Effect
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -115,6 +115,18 @@
 // Reason returns what makes it suspect.
 func (s Suspect) Reason() string { return s.reason }
 
+// What was decided on a request.
+const (
+	NoteSent      = "sent"
+	NoteQueued    = "queued"
+	NoteRefused   = "refused"
+	NoteAnswered  = "answered"
+	NoteFailed    = "failed"
+	NoteDelivered = "failure passed on"
+	NoteDropped   = "dropped"
+	NoteAttempt   = "attempt failed"
+)
+
 // Note is a decision on a request, for the log.
 type Note struct {
 	name     string
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -36,25 +36,6 @@
 	a.own.unread = max(a.own.unread-a.call.prompt, 0)
 }
 
-// silenceMost is after how many pauses a stream that may go on elsewhere is taken from its replica, though all its members
-// answer: one may be cut off from the others. The pauses together stay below the two seconds after which callers give up.
-const silenceMost = 4
-
-// silence suspects the upstream of a stream that fell silent, and takes the stream away if it stays so.
-func (s *State) silence(e Silenced) {
-	a := s.attempts[e.attempt]
-	if a == nil {
-		return
-	}
-	if e.pauses == 1 {
-		s.emit(Suspect{a.target(), "a stream fell silent"})
-	}
-	if e.pauses >= silenceMost && a.call.route.Repeatable() && !a.cut && a.call.runs+1 < a.call.route.Attempts() {
-		a.cut = true
-		s.emit(Cancel{a.id})
-	}
-}
-
 func (a *attempt) target() string { return a.call.tried[len(a.call.tried)-1] }
 
 // drop forgets an attempt that ended.
@@ -73,7 +54,7 @@
 		return
 	}
 	s.drop(now, a)
-	s.finish(now, a.call, "answered", a.target(), "")
+	s.finish(now, a.call, NoteAnswered, a.target(), "")
 	s.serveQueue(now, up)
 }
 
@@ -96,7 +77,7 @@
 	}
 	s.drop(now, a)
 	s.blame(now, a, e)
-	c.failure, c.held = e.failure, e.failure == Errored
+	c.held = e.failure == Errored
 	if e.started {
 		c.started, c.last = true, e.last
 	}
@@ -107,7 +88,7 @@
 		s.conclude(now, c, a.target())
 		return
 	}
-	s.note(now, c, "attempt failed", a.target(), e.failure.String(), Inputs{calls: a.own.calls(now), waiting: len(s.queue)})
+	s.note(now, c, NoteAttempt, a.target(), e.failure.String(), Inputs{calls: a.own.calls(now), waiting: len(s.queue)})
 	s.retry(now, up, c)
 	s.serveQueue(now, up)
 }
@@ -151,10 +132,10 @@
 	switch {
 	case c.held:
 		s.emit(Deliver{c.id})
-		s.finish(now, c, "failure passed on", "", reason.String())
+		s.finish(now, c, NoteDelivered, "", reason.String())
 	case c.runs > 0 || c.started:
 		s.emit(Fail{c.id, reason, false})
-		s.finish(now, c, "failed", "", reason.String())
+		s.finish(now, c, NoteFailed, "", reason.String())
 	default:
 		s.refuse(now, c, reason, again)
 	}
@@ -163,7 +144,7 @@
 // refuse ends a call that has not run.
 func (s *State) refuse(now time.Time, c *call, reason Reason, again time.Duration) {
 	s.emit(Refuse{c.id, reason, again})
-	s.finish(now, c, "refused", "", reason.String())
+	s.finish(now, c, NoteRefused, "", reason.String())
 }
 
 // expire ends a call whose time has run out.
@@ -174,7 +155,7 @@
 	}
 	if c.runs > 0 || c.started {
 		s.emit(Fail{c.id, Timeout, true})
-		s.finish(now, c, "failed", "", Timeout.String())
+		s.finish(now, c, NoteFailed, "", Timeout.String())
 		return
 	}
 	s.refuse(now, c, Timeout, 0)
@@ -191,7 +172,7 @@
 		return
 	}
 	s.emit(Drop{c.id})
-	s.finish(now, c, "dropped", "", CallerGone.String())
+	s.finish(now, c, NoteDropped, "", CallerGone.String())
 }
 
 // halt cancels the attempt of a call; the verdict follows when it has ended.
@@ -208,9 +189,9 @@
 	s.emit(c.halted)
 	switch v := c.halted.(type) {
 	case Fail:
-		s.finish(now, c, "failed", upstream, v.reason.String())
+		s.finish(now, c, NoteFailed, upstream, v.reason.String())
 	case Drop:
-		s.finish(now, c, "dropped", upstream, CallerGone.String())
+		s.finish(now, c, NoteDropped, upstream, CallerGone.String())
 	}
 }
 
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -8,10 +8,6 @@
 // farCost is what a request in another data centre costs more: its delay both ways is a few milliseconds.
 const farCost = 3 * time.Millisecond
 
-// ties is the part of the cost by which choices may differ and still count as equal, so that daemons that see the same
-// old reports don't all choose the same upstream.
-const ties = 0.1
-
 // choice is an upstream and what is expected there.
 type choice struct {
 	target Target
@@ -66,19 +62,7 @@
 	if len(open) == 0 {
 		return choice{}, count, false
 	}
-	best = open[0]
-	for _, one := range open[1:] {
-		if one.cost < best.cost {
-			best = one
-		}
-	}
-	var equal []choice
-	for _, one := range open {
-		if float64(one.cost) <= float64(best.cost)*(1+ties) {
-			equal = append(equal, one)
-		}
-	}
-	return equal[s.random.IntN(len(equal))], count, true
+	return s.pick(open), count, true
 }
 
 // targets returns the upstreams that take a call.
@@ -143,21 +127,5 @@
 		organisation: c.organisation, priority: c.priority, left: c.ends.Sub(now), last: c.last,
 		kind: c.route.Kind(), silence: s.silenceOf(c, best.target),
 	})
-	s.note(now, c, "sent", best.target.name, "", Inputs{others, best.calls, best.cost, len(s.queue), best.own.age(now)})
-}
-
-// The pauses after which a stream counts as silent.
-const (
-	silencePasses = 3                      // passes that a stream may miss: prompts of others are read between them
-	minSilence    = 250 * time.Millisecond // several large prompts in one pass take that long
-)
-
-// silenceOf returns the pause after which a stream counts as silent.
-func (s *State) silenceOf(c *call, t Target) time.Duration {
-	if !s.isModel(c) {
-		return 0
-	}
-	engine, model := s.engineOf(c)
-	pass := time.Duration(float64(engine.Pass(model, engine.Slots())) * t.pace)
-	return max(minSilence, silencePasses*pass)
+	s.note(now, c, NoteSent, best.target.name, "", Inputs{others, best.calls, best.cost, len(s.queue), best.own.age(now)})
 }
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 func TestAtMostOnce(t *testing.T) {
@@ -86,6 +88,22 @@
 	})
 }
 
+func TestPlainStream(t *testing.T) {
+	Convey("A stream that a configuration sends to a plain service has a pause after which it counts as silent", t, func() {
+		r := newReplay(1, 1)
+		r.feed(NewConfigured(route.New(2).
+			WithServices(route.NewService("desk", "/h", 100)).
+			WithOrganisation(route.NewOrganisation("large", 0, false), "large").
+			WithRoutes(route.NewRoute("draft", "pond", "/draft/", route.Stream).WithTimes(time.Second, worldGoal, 0).
+				WithShares(route.NewShare("desk", 1)))))
+		r.arrive(1, "large", "/draft/x")
+		So(len(r.begun), ShouldEqual, 1)
+		for _, send := range r.begun {
+			So(send.Silence(), ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
 func TestBudget(t *testing.T) {
 	Convey("All daemons together send again no more than the budget allows", t, func() {
 		var b budget
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -11,9 +11,6 @@
 // rejoin is the time in which an instance joins whose last replica served the same model.
 const rejoin = 200 * time.Millisecond // the platform's figure
 
-// reserve is how many idle instances a fabric domain keeps to repair its replicas.
-const reserve = 0 // a replica that serves is worth more than a spare while half the load is within reach of the rest
-
 // settleTime is how long no new instance must have come before replicas are formed: instances that start together are
 // listed within a heartbeat of each other.
 const settleTime = 700 * time.Millisecond
@@ -209,7 +206,7 @@
 	bestIdle := 0
 	for _, domain := range d.domains() {
 		free := d.ready(domain, model)
-		if len(free) < model.Span()+reserve {
+		if len(free) < model.Span() {
 			continue
 		}
 		slowest := d.nodes[free[model.Span()-1]].loadTime(model)
