dispatch: Break a begun stream off instead of ending it with an upstream's failure

Change: a call whose answer has begun is broken off; the driver does the same should it be told otherwise. Test: TestFailureMidway fails before.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -134,6 +134,9 @@
 	case dispatch.Fail:
 		e.fail(effect)
 	case dispatch.Deliver:
+		if e.begun {
+			panic(http.ErrAbortHandler)
+		}
 		e.held.pass(e.writer)
 	case dispatch.Drop:
 		panic(http.ErrAbortHandler)
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -127,10 +127,11 @@
 	}
 }
 
-// giveUp ends a call without success: as not run only if no upstream may have run it.
+// giveUp ends a call without success: as not run only if no upstream may have run it. An answer that has begun is broken
+// off, also if the last upstream answered with a failure, which would stand in the middle of it.
 func (s *State) giveUp(now time.Time, c *call, reason Reason, again time.Duration) {
 	switch {
-	case c.held:
+	case c.held && !c.started:
 		s.emit(Deliver{c.id})
 		s.finish(now, c, NoteDelivered, "", reason.String())
 	case c.runs > 0 || c.started:
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -65,6 +65,32 @@
 	})
 }
 
+func TestFailureMidway(t *testing.T) {
+	Convey("A resumed stream whose second upstream answers with a failure is broken off, not ended by that failure", t, func() {
+		r := newReplay(2, 1)
+		r.arrive(1, "large", "/draft/x")
+		r.run(200 * time.Millisecond)
+		var first Send
+		for _, send := range r.begun {
+			first = send
+		}
+		r.lose = func(Send) Failure { return Errored }
+		r.feed(NewFailed(first.Attempt(), Interrupted).WithProgress("7"))
+		r.run(time.Second)
+		So(r.sends[1], ShouldEqual, 2)
+		So(r.passed[1], ShouldBeFalse)
+		So(r.failed, ShouldContainKey, ID(1))
+	})
+
+	Convey("A failure that comes before any part of an answer is passed on", t, func() {
+		r := newReplay(1, 1)
+		r.lose = func(Send) Failure { return Errored }
+		r.arrive(1, "large", "/issue/x")
+		r.run(time.Second)
+		So(r.passed[1], ShouldBeTrue)
+	})
+}
+
 func TestStandstill(t *testing.T) {
 	Convey("A stream that stands still although its replica looks alive goes on elsewhere within two seconds", t, func() {
 		r := newReplay(2, 1)
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -31,6 +31,7 @@
 	owner   map[ID]string
 	refused map[ID]bool
 	failed  map[ID]Reason
+	passed  map[ID]bool // the failure of an upstream was passed on
 	sends   map[ID]int
 	begun   map[Attempt]Send
 	later   []due
@@ -45,7 +46,7 @@
 func newReplay(replicas int, seed uint64) *replay {
 	r := &replay{
 		now: epoch, load: map[string]int{}, first: map[ID]time.Duration{}, arrived: map[ID]time.Time{},
-		owner: map[ID]string{}, refused: map[ID]bool{}, failed: map[ID]Reason{}, sends: map[ID]int{}, begun: map[Attempt]Send{},
+		owner: map[ID]string{}, refused: map[ID]bool{}, failed: map[ID]Reason{}, passed: map[ID]bool{}, sends: map[ID]int{}, begun: map[Attempt]Send{},
 		lose: func(Send) Failure { return NoFailure },
 	}
 	for i := range replicas {
@@ -100,6 +101,8 @@
 		r.after(time.Millisecond, func() { r.feed(NewFailed(effect.Attempt(), Halted)) })
 	case Refuse:
 		r.refused[effect.ID()] = true
+	case Deliver:
+		r.passed[effect.ID()] = true
 	case Fail:
 		r.failed[effect.ID()] = effect.Reason()
 	}
