dispatch: Give places at replicas by one daemon for each share of them

Change: the replicas of a model are divided into four shares. One daemon, found by rendezvous hashing over those that are live, keeps the count of each share; the others ask it for a place, and wait with it where all are taken. A place that becomes free goes to the most urgent call of all: of an organisation that is short, one that can still be on time, by priority, by age. Calls that can only be late are refused at once while all places go to others. A daemon that does not answer within 40 ms, or knows of no replica, is not asked for a second, and the call goes on as before.

A daemon that does not lead looks at a dead instance every 4 s instead of each second (TestLooks, 4 looks before, 2 now).

--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
@@ -13,7 +14,7 @@
 // note logs and counts a decision on a request.
 func (d *Daemon) note(n dispatch.Note) {
 	in := n.Inputs()
-	d.log.Line("dispatch", n.What(), "id", n.Name(), "route", n.Route(), "upstream", n.Upstream(), "reason", n.Reason(),
+	d.log.Line("dispatch", n.What(), "id", n.Name(), "content", strconv.FormatUint(n.Content(), 16), "route", n.Route(), "upstream", n.Upstream(), "reason", n.Reason(),
 		"after", n.After(), "upstreams", in.Upstreams(), "calls", in.Calls(), "expected", in.Expected(),
 		"waiting", in.Waiting(), "age", in.Age())
 	d.recorder.Decided(n.Route(), n.What(), n.Reason())
--- a/pkg/dispatch/arrive.go
+++ b/pkg/dispatch/arrive.go
@@ -40,6 +40,10 @@
 		s.refuse(now, c, Stopped, stoppingPause)
 		return
 	}
+	if s.isCondemned(now, c, crashesToRefuse) {
+		s.refuse(now, c, Poison, 0)
+		return
+	}
 	s.place(now, up, c)
 }
 
--- a/pkg/dispatch/burst.go
+++ b/pkg/dispatch/burst.go
@@ -55,11 +55,11 @@
 		s.giveUp(now, c, Overload, s.again(now, up, c))
 		return
 	}
+	s.queue = append(s.queue, c)
 	if c.queued.IsZero() {
 		c.queued = now
+		s.note(now, c, NoteQueued, "", "", Inputs{heads: others, best: expected, waiting: len(s.queue)})
 	}
-	s.queue = append(s.queue, c)
-	s.note(now, c, NoteQueued, "", "", Inputs{heads: others, best: expected, waiting: len(s.queue)})
 }
 
 // expectedWait returns how long a call would wait behind those that are ahead of it: at the rate at which calls of its
@@ -139,7 +139,7 @@
 
 // lateness returns 1 for a call that can only be late, which gives way to those that can be on time, else 0.
 func (s *State) lateness(now time.Time, c *call) int {
-	if now.Sub(c.arrived) > time.Duration(waitOfGoal*float64(c.route.Goal())) {
+	if c.isReturned() || now.Sub(c.arrived) > time.Duration(waitOfGoal*float64(c.route.Goal())) {
 		return 1
 	}
 	return 0
--- a/pkg/dispatch/burst_test.go
+++ b/pkg/dispatch/burst_test.go
@@ -13,7 +13,7 @@
 // burst replays a burst of twice the capacity for three seconds between calm ones.
 func burst(plain bool) *replay {
 	r := newReplay(4, 1)
-	r.state.plain = plain
+	r.state.plain, r.state.open = plain, plain
 	r.arrivals(1, "large", capacity*0.6, 4*time.Second, 1)
 	r.after(4*time.Second, func() { r.arrivals(10_000, "large", capacity*2, 3*time.Second, 2) })
 	r.after(7*time.Second, func() { r.arrivals(20_000, "large", capacity*0.6, 6*time.Second, 3) })
@@ -54,7 +54,7 @@
 func TestFlood(t *testing.T) {
 	flood := func(plain bool) *replay {
 		r := newReplay(4, 1)
-		r.state.plain = plain
+		r.state.plain, r.state.open = plain, plain
 		r.arrivals(1, "large", capacity*2, 8*time.Second, 1)
 		r.arrivals(50_000, "small", capacity*0.1, 8*time.Second, 2)
 		r.run(20 * time.Second)
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -79,10 +79,20 @@
 	started bool   // the caller has the beginning of an answer
 	last    string // id of the last event that the caller has
 	queued  time.Time
+	denied  []Share // where it was told that no place becomes free in time
 	halted  verdict // what to answer once the attempt has ended, nil while it may go on
 	held    bool    // the last attempt holds an upstream's answer that can be passed on
 }
 
+// returnedPart is below which part of the route's time a caller's patience tells that it asked before: callers wait for
+// one whole time, tries included.
+const returnedPart = 0.95
+
+// isReturned reports whether the caller asked before and comes again, so that its goal has passed or will have.
+func (c *call) isReturned() bool {
+	return c.patience > 0 && float64(c.patience) < returnedPart*float64(c.route.Timeout())
+}
+
 type verdict = Effect
 
 // attempt is a try that has not ended.
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -103,6 +103,70 @@
 // ID returns the request.
 func (d Drop) ID() ID { return d.id }
 
+// Ask asks the daemon that keeps count of a replica for a place; Granted follows if it is answered.
+type Ask struct {
+	owner string
+	wish  Wish
+}
+
+// Owner returns the daemon that is asked.
+func (a Ask) Owner() string { return a.owner }
+
+// Wish returns the question.
+func (a Ask) Wish() Wish { return a.wish }
+
+// Claim tells the daemon that keeps count how many calls this one has at some replicas.
+type Claim struct {
+	owner string
+	calls map[string]int
+}
+
+// Owner returns the daemon that is told.
+func (c Claim) Owner() string { return c.owner }
+
+// Calls returns how many calls this daemon has at each replica, by its head.
+func (c Claim) Calls() map[string]int { return c.calls }
+
+// Grant answers a daemon that asked for a place.
+type Grant struct {
+	to     string
+	answer Granted
+}
+
+// To returns the daemon that asked.
+func (g Grant) To() string { return g.to }
+
+// Answer returns what it is told.
+func (g Grant) Answer() Granted { return g.answer }
+
+// Crash tells the daemon that counts crashes that a copy of a request was at an upstream that broke off.
+type Crash struct {
+	content  uint64
+	upstream string
+}
+
+// Content returns the hash of what the request asks for.
+func (c Crash) Content() uint64 { return c.content }
+
+// Upstream returns the upstream that broke off.
+func (c Crash) Upstream() string { return c.upstream }
+
+// Condemn tells all daemons at how many crashes copies of a request were.
+type Condemn struct {
+	content uint64
+	crashes int
+	lasts   time.Duration
+}
+
+// Content returns the hash of what the request asks for.
+func (c Condemn) Content() uint64 { return c.content }
+
+// Crashes returns at how many crashes copies were.
+func (c Condemn) Crashes() int { return c.crashes }
+
+// Lasts returns for how long that counts.
+func (c Condemn) Lasts() time.Duration { return c.lasts }
+
 // Suspect says that an upstream may be dead.
 type Suspect struct {
 	upstream string
@@ -130,6 +194,7 @@
 // Note is a decision on a request, for the log.
 type Note struct {
 	name     string
+	content  uint64
 	what     string
 	route    string
 	upstream string
@@ -150,6 +215,9 @@
 // Name returns the name that the caller gave the request.
 func (n Note) Name() string { return n.name }
 
+// Content returns the hash of what the request asks for, by which lines about copies of it are found.
+func (n Note) Content() uint64 { return n.content }
+
 // What returns the decision in a word.
 func (n Note) What() string { return n.what }
 
@@ -195,6 +263,16 @@
 
 func (Drop) isEffect() {}
 
+func (Ask) isEffect() {}
+
+func (Claim) isEffect() {}
+
+func (Grant) isEffect() {}
+
+func (Crash) isEffect() {}
+
+func (Condemn) isEffect() {}
+
 func (Suspect) isEffect() {}
 
 func (Note) isEffect() {}
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -1,9 +1,14 @@
 package dispatch
 
-import "github.com/azurepond/azurepond/pkg/route"
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
 
 // Event is something that happened to requests: Configured, Arrived, Started, Flowed, Silenced, Ended, Failed, Left,
-// Broke, Peers or Ticked.
+// Granted, Wished, Claimed,
+// Peered, Crashed, Condemned, Broke, Peers or Ticked.
 type Event interface{ isEvent() }
 
 // Configured says which configuration is in force.
@@ -108,6 +113,103 @@
 	return f
 }
 
+// Verdict is the answer to a question for a place.
+type Verdict uint8
+
+// The answers to a question for a place.
+const (
+	// Denied says that there is no place, and none is to be waited for.
+	Denied Verdict = iota
+	// Given says that the call has a place.
+	Given
+	// Waits says that the call gets a place as soon as one is free; another answer follows.
+	Waits
+	// Uncounted says that the daemon knows of no replica in the share, as after its start.
+	Uncounted
+)
+
+// Granted says whether there is a place for a call.
+type Granted struct {
+	ask      uint64
+	verdict  Verdict
+	upstream string
+	calls    int
+	excess   int
+}
+
+// NewGranted returns the event that a question was answered; excess is how many calls wait in the share, less the places
+// that are free.
+func NewGranted(ask uint64, verdict Verdict, excess int) Granted {
+	return Granted{ask: ask, verdict: verdict, excess: excess}
+}
+
+// WithPlace returns the event of a call that has a place at an upstream, which has that many calls with it.
+func (g Granted) WithPlace(upstream string, calls int) Granted {
+	g.upstream, g.calls = upstream, calls
+	return g
+}
+
+// Ask returns the number of the question within the daemon that asked.
+func (g Granted) Ask() uint64 { return g.ask }
+
+// Verdict returns the answer.
+func (g Granted) Verdict() Verdict { return g.verdict }
+
+// Upstream returns the head of the replica at which the call has a place.
+func (g Granted) Upstream() string { return g.upstream }
+
+// Calls returns how many calls that replica has.
+func (g Granted) Calls() int { return g.calls }
+
+// Excess returns how many calls wait in the share, less the places that are free.
+func (g Granted) Excess() int { return g.excess }
+
+// Wished says that another daemon asks for a place.
+type Wished struct {
+	from string
+	wish Wish
+}
+
+// NewWished returns the event that the daemon called from asks for a place.
+func NewWished(from string, wish Wish) Wished { return Wished{from, wish} }
+
+// Crashed says that a copy of a request was at an upstream that broke off.
+type Crashed struct {
+	content  uint64
+	upstream string
+}
+
+// NewCrashed returns the event that a copy of the request with that content was at an upstream that broke off.
+func NewCrashed(content uint64, upstream string) Crashed { return Crashed{content, upstream} }
+
+// Condemned says that a request seems to crash upstreams.
+type Condemned struct {
+	content uint64
+	crashes int
+	lasts   time.Duration
+}
+
+// NewCondemned returns the event that copies of the request with that content were at that many crashes; it counts for a
+// while.
+func NewCondemned(content uint64, crashes int, lasts time.Duration) Condemned {
+	return Condemned{content, crashes, lasts}
+}
+
+// Peered says which daemons are live.
+type Peered struct{ names []string }
+
+// NewPeered returns the event that the daemons of these names are live, this one among them or not.
+func NewPeered(names []string) Peered { return Peered{names} }
+
+// Claimed says how many calls another daemon has at some upstreams.
+type Claimed struct {
+	from  string
+	calls map[string]int
+}
+
+// NewClaimed returns the event that a daemon has so many calls at each of some upstreams.
+func NewClaimed(from string, calls map[string]int) Claimed { return Claimed{from, calls} }
+
 // Left says that the caller of a request went away.
 type Left struct{ id ID }
 
@@ -158,6 +260,18 @@
 
 func (Failed) isEvent() {}
 
+func (Granted) isEvent() {}
+
+func (Wished) isEvent() {}
+
+func (Claimed) isEvent() {}
+
+func (Peered) isEvent() {}
+
+func (Crashed) isEvent() {}
+
+func (Condemned) isEvent() {}
+
 func (Left) isEvent() {}
 
 func (Broke) isEvent() {}
--- /dev/null
+++ b/pkg/dispatch/grant.go
@@ -0,0 +1,268 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The decisions of this file answer many daemons that send to the same replicas: each sees a replica's load only by the
+// few answers that it gets itself, seconds late, so that calls queue in some replicas while others have free slots. The
+// replicas of a model are divided into a few shares. One daemon keeps the count of each share, and the others ask it for a
+// place before they send. Where all are taken, calls wait with that daemon, which gives a place that becomes free to the
+// most urgent one of all.
+
+// shares is into how many parts the replicas of a model are divided. More of them divide the work of keeping count, fewer
+// let a call take the next place that becomes free at more replicas.
+const shares = 4 // a dozen replicas of a small fleet make three in each, of which one frees a place each 50 ms
+
+// The bounds of asking.
+const (
+	askLimit = 40 * time.Millisecond // ten round trips between the data centres of a region
+	askMute  = time.Second           // a daemon that did not answer is not asked; a restart takes about as long
+	askTries = 2                     // shares asked for one call; if the lines of two are too long, those of all are
+)
+
+// Share is a part of the replicas of a model, whose count one daemon keeps.
+type Share struct {
+	model  string
+	number uint64
+}
+
+// shareOf returns the share of the replica of that head.
+func shareOf(model, head string) Share { return Share{model, xxhash.Sum64String(head) % shares} }
+
+// NewShare returns a share of the replicas of model.
+func NewShare(model string, number uint64) Share { return Share{model, number % shares} }
+
+// Model returns the model whose replicas they are.
+func (s Share) Model() string { return s.model }
+
+// Number returns which of the shares of the model it is.
+func (s Share) Number() uint64 { return s.number }
+
+// String returns the name of the share.
+func (s Share) String() string { return s.model + "/" + strconv.FormatUint(s.number, 10) }
+
+// ask is a question for a place that has not been answered.
+type ask struct {
+	call  *call
+	share Share
+	owner string
+	until time.Time // when an answer is due
+	waits bool      // the call waits there until a place becomes free
+}
+
+// pressure is what the daemon that keeps the count of a share last told of it.
+type pressure struct {
+	excess int // calls that wait, less the places that are free
+	at     time.Time
+}
+
+// pressureKept is how long an answer tells how full a share is; places turn over within a few seconds.
+const pressureKept = time.Second
+
+// mayAsk reports whether a call is to have a place before it is sent; what has run already is not held up.
+func (s *State) mayAsk(c *call) bool { return !s.open && c.sends == 0 && s.isModel(c) }
+
+// askFor asks for a place for a call, or sends it if there is nobody to ask.
+func (s *State) askFor(now time.Time, up Upstreams, c *call) {
+	share, isFound := s.pickShare(now, up, c)
+	owner := up.Owner(share)
+	if !isFound || now.Before(s.mute[owner]) {
+		s.placeUnasked(now, up, c)
+		return
+	}
+	s.asked++
+	s.asks[s.asked] = &ask{c, share, owner, now.Add(askLimit), false}
+	wish := Wish{
+		ask: s.asked, share: share, prompt: c.prompt, priority: c.priority,
+		fresh: max(s.freshUntil(c).Sub(now), 0), left: max(s.patienceOf(c).Sub(now), 0),
+		short: s.isShort(c), running: s.running[c.organisation],
+	}
+	if owner != "" {
+		s.emit(Ask{owner, wish})
+		return
+	}
+	s.answered(now, up, s.consider(now, up, "", wish))
+}
+
+// pickShare returns the less full one of two shares, drawn at random among those with replicas.
+func (s *State) pickShare(now time.Time, up Upstreams, c *call) (Share, bool) {
+	var all []Share
+	for _, t := range s.targets(up, c) {
+		if one := shareOf(c.model, t.name); !slices.Contains(all, one) && !slices.Contains(c.denied, one) {
+			all = append(all, one)
+		}
+	}
+	if len(all) == 0 {
+		return Share{}, false
+	}
+	a, b := all[s.random.IntN(len(all))], all[s.random.IntN(len(all))]
+	if s.excess(now, b) < s.excess(now, a) {
+		a = b
+	}
+	return a, true
+}
+
+func (s *State) excess(now time.Time, share Share) int {
+	if p := s.pressures[share]; now.Sub(p.at) <= pressureKept {
+		return p.excess
+	}
+	return 0
+}
+
+// freshUntil returns until when a call that waits can still be on time.
+func (s *State) freshUntil(c *call) time.Time {
+	if c.isReturned() {
+		return c.arrived
+	}
+	engine, model := s.engineOf(c)
+	first := time.Duration(firstPasses*float64(engine.Pass(model, engine.Slots()))) + firstReads*engine.Read(model, c.prompt)
+	return c.arrived.Add(c.route.Goal() - first)
+}
+
+// What the first event of a call takes at a full replica.
+const (
+	firstPasses = 2.5 // half of the one that runs, one that reads the prompt, one that writes the first event
+	firstReads  = 2   // its own prompt and that of another call
+)
+
+// answered takes in whether a call has a place.
+func (s *State) answered(now time.Time, up Upstreams, e Granted) {
+	one := s.asks[e.ask]
+	if one == nil {
+		s.giveBack(up, e) // it took too long, and the call went on without
+		return
+	}
+	c := one.call
+	s.pressures[one.share] = pressure{e.excess, now}
+	if e.verdict == Waits {
+		one.waits, one.until = true, s.patienceOf(c).Add(askLimit)
+		if c.queued.IsZero() {
+			c.queued = now
+			s.note(now, c, NoteQueued, "", one.share.String(), Inputs{waiting: e.excess})
+		}
+		return
+	}
+	delete(s.asks, e.ask)
+	if e.verdict == Uncounted {
+		s.mute[one.owner] = now.Add(askMute)
+	}
+	isLive := s.calls[c.id] == c
+	if e.verdict == Given && isLive && s.sendTo(now, up, c, e) {
+		return
+	}
+	s.giveBack(up, e)
+	if isLive {
+		s.denied(now, up, c, one.share, e.verdict)
+	}
+}
+
+// giveBack lets the daemon that keeps count know that a place it gave is not used.
+func (s *State) giveBack(up Upstreams, e Granted) {
+	if e.verdict != Given {
+		return
+	}
+	if share, isListed := s.shareOfHead(up, e.upstream); isListed {
+		s.upstream(e.upstream).model = share.model
+		s.changed[e.upstream] = true
+	}
+}
+
+// sendTo sends a call to the place that it was given, and reports whether that is still possible.
+func (s *State) sendTo(now time.Time, up Upstreams, c *call, e Granted) bool {
+	own := s.upstream(e.upstream)
+	i := slices.IndexFunc(s.targets(up, c), func(t Target) bool { return t.name == e.upstream })
+	if i < 0 || now.Before(own.avoid) {
+		return false
+	}
+	t := s.targets(up, c)[i]
+	own.report(now, NewLoad(e.calls, 0, t.slots))
+	one := choice{target: t, own: own, calls: float64(e.calls)}
+	one.cost = s.firstEvent(c, one)
+	s.send(now, c, one, e.calls)
+	return true
+}
+
+// denied asks for a place in another share, and refuses the call if that helps no more.
+func (s *State) denied(now time.Time, up Upstreams, c *call, share Share, verdict Verdict) {
+	c.denied = append(c.denied, share)
+	switch {
+	case verdict == Given, verdict == Uncounted:
+		s.placeUnasked(now, up, c)
+	case len(c.denied) < askTries && s.hasOtherShare(up, c):
+		s.askFor(now, up, c)
+	default:
+		s.giveUp(now, c, Overload, s.again(now, up, c))
+	}
+}
+
+func (s *State) hasOtherShare(up Upstreams, c *call) bool {
+	return slices.ContainsFunc(s.targets(up, c), func(t Target) bool {
+		return !slices.Contains(c.denied, shareOf(c.model, t.name))
+	})
+}
+
+// checkAsks goes on with the calls whose question was not answered in time, or waits with a daemon that does not keep the
+// count any more.
+func (s *State) checkAsks(now time.Time, up Upstreams) {
+	for _, id := range slices.Sorted(maps.Keys(s.asks)) {
+		one := s.asks[id]
+		isMoved := one.waits && up.Owner(one.share) != one.owner
+		if now.Before(one.until) && !isMoved {
+			continue
+		}
+		delete(s.asks, id)
+		switch c := one.call; {
+		case s.calls[c.id] != c:
+		case isMoved:
+			s.askFor(now, up, c)
+		case one.waits:
+			s.giveUp(now, c, Overload, s.again(now, up, c))
+		default:
+			s.mute[one.owner] = now.Add(askMute)
+			s.placeUnasked(now, up, c)
+		}
+	}
+}
+
+// recall notes that the number of calls at a replica changed.
+func (s *State) recall(c *call, name string) {
+	if s.isModel(c) {
+		s.changed[name] = true
+		s.upstream(name).model = c.model
+	}
+}
+
+// tellClaims tells the daemons that keep count how many calls this one has at replicas where that changed, or whose count
+// another daemon keeps now.
+func (s *State) tellClaims(now time.Time, up Upstreams) {
+	claims := map[string]map[string]int{}
+	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
+		u := s.upstreams[name]
+		if u.model == "" || u.running == 0 && !s.changed[name] {
+			continue
+		}
+		owner := up.Owner(shareOf(u.model, name))
+		if !s.changed[name] && u.owner == owner {
+			continue
+		}
+		u.owner = owner
+		if claims[owner] == nil {
+			claims[owner] = map[string]int{}
+		}
+		claims[owner][name] = u.running
+	}
+	clear(s.changed)
+	for _, owner := range slices.Sorted(maps.Keys(claims)) {
+		if owner == "" {
+			s.claimed(now, up, Claimed{"", claims[owner]})
+			continue
+		}
+		s.emit(Claim{owner, claims[owner]})
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/grant_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestSilentKeeper(t *testing.T) {
+	Convey("A call does not wait for a daemon that keeps count and does not answer", t, func() {
+		w := newCrowd(8, 8, false)
+		w.silent = true
+		for daemon := range 8 {
+			w.arrive(daemon, worldLimit)
+		}
+		w.run(time.Second)
+		good, served := w.onTime()
+		So(served, ShouldEqual, 1)
+		So(good, ShouldEqual, 1)
+	})
+}
+
+func TestUncounted(t *testing.T) {
+	Convey("A call is sent though the daemon that keeps count knows of no replica yet", t, func() {
+		w := newCrowd(8, 8, false)
+		w.blind = 4 // the owners of all shares
+		for daemon := 4; daemon < 8; daemon++ {
+			w.arrive(daemon, worldLimit)
+		}
+		w.run(time.Second)
+		good, _ := w.onTime()
+		So(good, ShouldEqual, 1)
+	})
+}
+
+func TestGoneDaemon(t *testing.T) {
+	Convey("Places of daemons that are gone are given to others", t, func() {
+		w := newCrowd(8, 4, false)
+		for range 4 * worldSlots {
+			w.arrive(7, worldLimit)
+		}
+		w.run(20 * time.Millisecond)
+		w.later, w.running = nil, map[string][]*crowdCall{} // it dies, and its calls with it
+		for daemon := range 7 {
+			w.feed(daemon, NewPeered([]string{"0", "1", "2", "3", "4", "5", "6"}))
+		}
+		from := len(w.calls)
+		for daemon := range 7 {
+			w.arrive(daemon, worldLimit)
+		}
+		w.run(time.Second)
+		for _, c := range w.calls[from:] {
+			So(c.first, ShouldBeBetween, time.Duration(0), worldGoal)
+		}
+	})
+}
+
+func TestComingAgain(t *testing.T) {
+	// again replays callers that come for the first time, and others that come again at that rate.
+	again := func(isOpen bool, rate float64) (first, second float64) {
+		w := newCrowd(8, 8, isOpen)
+		w.arrivals(2*capacity*0.8, 10*time.Second, 1)
+		w.again = worldLimit / 2 // as much time is left to those that come again
+		w.arrivals(2*capacity*rate, 10*time.Second, 2)
+		w.run(20 * time.Second)
+		for _, c := range w.calls {
+			if c.first <= 0 || c.first > worldGoal {
+				continue
+			}
+			if c.patience == worldLimit {
+				first++
+			} else {
+				second++
+			}
+		}
+		return first / (2 * capacity * 8), second / (2 * capacity * 10 * max(rate, 1e-9))
+	}
+	Convey("While places are short, callers that come again get one after those that can be on time", t, func() {
+		alone, _ := again(false, 0)
+		before, _ := again(true, 0.5)
+		first, second := again(false, 0.5)
+		Printf("\non time of those that come first: %.3f alone, %.3f beside others that come again, %.3f without places; "+
+			"of those: %.3f\n", alone, first, before, second)
+		So(first, ShouldBeGreaterThan, before+0.3)
+		So(first, ShouldBeGreaterThan, second+0.3)
+	})
+}
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -42,6 +42,7 @@
 func (s *State) drop(now time.Time, a *attempt) {
 	delete(s.attempts, a.id)
 	a.own.end(now)
+	s.recall(a.call, a.target())
 	a.call.attempt = nil
 	if s.running[a.call.organisation]--; s.running[a.call.organisation] <= 0 {
 		delete(s.running, a.call.organisation)
@@ -54,6 +55,7 @@
 		return
 	}
 	s.drop(now, a)
+	s.acquit(now, a.call)
 	s.finish(now, a.call, NoteAnswered, a.target(), "")
 	s.serveQueue(now, up)
 }
@@ -107,6 +109,7 @@
 	case Interrupted:
 		a.own.failures++
 		s.emit(Suspect{a.target(), "connection reset"})
+		s.noteCrash(a.call, a.target())
 	case Misdirected:
 		a.own.avoid = now.Add(deadPause)
 		s.emit(Suspect{a.target(), "another upstream has the address"})
@@ -118,6 +121,8 @@
 // retry sends a call again if that is allowed and helps.
 func (s *State) retry(now time.Time, up Upstreams, c *call) {
 	switch {
+	case s.isCondemned(now, c, crashesToDoubt):
+		s.giveUp(now, c, Poison, 0)
 	case c.runs > 0 && !c.route.Repeatable(), c.runs >= c.route.Attempts(), c.sends >= maxSends:
 		s.giveUp(now, c, Exhausted, s.again(now, up, c))
 	case !s.budget(c.service).repeat(now, s.settings.retries, s.sharers):
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -16,8 +16,17 @@
 	cost   time.Duration
 }
 
-// place sends a call to the upstream where its answer is expected first, queues it if none has room, or refuses it.
+// place finds an upstream for a call: a call for a model needs a place at a replica first.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
+	if s.mayAsk(c) && len(s.targets(up, c)) > 0 {
+		s.askFor(now, up, c)
+		return
+	}
+	s.placeUnasked(now, up, c)
+}
+
+// placeUnasked sends a call to the upstream where its answer is expected first, queues it if none has room, or refuses it.
+func (s *State) placeUnasked(now time.Time, up Upstreams, c *call) {
 	best, others, isFound := s.choose(now, up, c)
 	if isFound && (s.plain || !s.hasWaiting(c)) {
 		s.send(now, c, best, others)
@@ -117,6 +126,7 @@
 	a := &attempt{id: s.last, call: c, own: best.own, at: now}
 	s.attempts[a.id] = a
 	best.own.begin(now, c.prompt)
+	s.recall(c, best.target.name)
 	s.running[c.organisation]++
 	c.attempt = a
 	c.sends++
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -11,24 +11,34 @@
 
 // State is all that one daemon knows and decides about requests.
 type State struct {
-	settings  Settings
-	config    route.Config
-	known     bool // a configuration is in force
-	random    *rand.Rand
-	calls     map[ID]*call
-	attempts  map[Attempt]*attempt
-	last      Attempt
-	upstreams map[string]*upstream
-	budgets   map[string]*budget
-	queue     []*call
-	sharers   int
-	stopping  bool
-	cleaned   time.Time
-	demand    map[string]float64 // work that came for each model since the last look, in replica-seconds
-	rates     map[string]*rate
-	running   map[string]int // attempts of each organisation
-	plain     bool           // calls wait in the order of their arrival, for comparison
-	effects   []Effect
+	settings       Settings
+	config         route.Config
+	known          bool // a configuration is in force
+	random         *rand.Rand
+	calls          map[ID]*call
+	attempts       map[Attempt]*attempt
+	last           Attempt
+	upstreams      map[string]*upstream
+	budgets        map[string]*budget
+	queue          []*call
+	sharers        int
+	stopping       bool
+	cleaned        time.Time
+	demand         map[string]float64 // work that came for each model since the last look, in replica-seconds
+	rates          map[string]*rate
+	crashes        map[uint64]*crashed // by content of requests, as far as they are counted here
+	condemned      map[uint64]sentence // by content of requests that seem to crash upstreams
+	answeredLately successes
+	asks           map[uint64]*ask
+	asked          uint64               // the last question
+	mute           map[string]time.Time // daemons that did not answer, and until when they are not asked
+	changed        map[string]bool      // replicas whose count here is not told yet
+	ledgers        map[Share]*ledger    // the counts that are kept here
+	pressures      map[Share]pressure
+	running        map[string]int // attempts of each organisation
+	plain          bool           // calls wait in the order of their arrival, for comparison
+	open           bool           // calls are sent without asking for a place, for comparison
+	effects        []Effect
 }
 
 // Settings are what the decisions depend on.
@@ -51,6 +61,13 @@
 		budgets:   map[string]*budget{},
 		demand:    map[string]float64{},
 		rates:     map[string]*rate{},
+		crashes:   map[uint64]*crashed{},
+		condemned: map[uint64]sentence{},
+		asks:      map[uint64]*ask{},
+		mute:      map[string]time.Time{},
+		changed:   map[string]bool{},
+		ledgers:   map[Share]*ledger{},
+		pressures: map[Share]pressure{},
 		running:   map[string]int{},
 		sharers:   1,
 	}
@@ -77,6 +94,18 @@
 		s.end(now, up, e.attempt)
 	case Failed:
 		s.fail(now, up, e)
+	case Granted:
+		s.answered(now, up, e)
+	case Peered:
+		s.dropClaims(e.names)
+	case Crashed:
+		s.count(now, e)
+	case Condemned:
+		s.condemn(now, e)
+	case Claimed:
+		s.claimed(now, up, e)
+	case Wished:
+		s.emit(Grant{e.from, s.consider(now, up, e.from, e.wish)})
 	case Left:
 		s.leave(now, e.id)
 	case Broke:
@@ -109,16 +138,20 @@
 			s.expire(now, c)
 		}
 	}
+	s.checkAsks(now, up)
 	s.serveQueue(now, up)
+	s.tellClaims(now, up)
 	if now.Sub(s.cleaned) >= forgetAfter {
 		s.cleaned = now
 		s.forget(now)
+		s.forgetHeads(up)
+		s.forgetCrashes(now)
 	}
 }
 
 // note tells the log what was decided on a call.
 func (s *State) note(now time.Time, c *call, what, upstream, reason string, inputs Inputs) {
-	s.emit(Note{c.name, what, c.route.Name(), upstream, reason, now.Sub(c.arrived), inputs})
+	s.emit(Note{c.name, c.content, what, c.route.Name(), upstream, reason, now.Sub(c.arrived), inputs})
 }
 
 func (s *State) budget(service string) *budget {
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -45,6 +45,8 @@
 	Replicas(model string) []Target
 	// Processes returns the upstreams of a plain service.
 	Processes(service string) []Target
+	// Owner returns the daemon that keeps count of the calls in a share of the replicas, empty for this one.
+	Owner(share Share) string
 }
 
 // The pauses of an upstream that failed.
@@ -57,6 +59,8 @@
 // upstream is what this daemon itself knows of one upstream.
 type upstream struct {
 	running  int
+	model    string    // of the replica that it leads
+	owner    string    // the daemon that was last told how many calls run
 	unread   int       // prompt tokens that were sent and not answered yet
 	load     Load      // last report
 	reported time.Time // when it came
--- /dev/null
+++ b/pkg/dispatch/wish.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import "time"
+
+// Wish is a question for a place in a share of the replicas.
+type Wish struct {
+	ask      uint64
+	share    Share
+	prompt   int
+	priority int
+	fresh    time.Duration
+	left     time.Duration
+	short    bool
+	running  int
+}
+
+// NewWish returns the question, by its number within the daemon that asks, for a place for a call with that many prompt
+// tokens in a share.
+func NewWish(ask uint64, share Share, prompt int) Wish {
+	return Wish{ask: ask, share: share, prompt: prompt}
+}
+
+// WithPatience returns the question of a call that may wait for a place for left, and can be on time for fresh.
+func (w Wish) WithPatience(priority int, fresh, left time.Duration) Wish {
+	w.priority, w.fresh, w.left = priority, fresh, left
+	return w
+}
+
+// WithOrganisation returns the question of a call of an organisation that has so many calls at the daemon that asks; short
+// tells that this is far less than its part.
+func (w Wish) WithOrganisation(short bool, running int) Wish {
+	w.short, w.running = short, running
+	return w
+}
+
+// Ask returns the number of the question within the daemon that asks.
+func (w Wish) Ask() uint64 { return w.ask }
+
+// Share returns the part of the replicas in which a place is wanted.
+func (w Wish) Share() Share { return w.share }
+
+// Prompt returns the prompt tokens of the call.
+func (w Wish) Prompt() int { return w.prompt }
+
+// Priority returns the priority of the call, 0 for the most urgent.
+func (w Wish) Priority() int { return w.priority }
+
+// Fresh returns for how long the call can still be on time.
+func (w Wish) Fresh() time.Duration { return w.fresh }
+
+// Left returns for how long the call may wait, 0 if it does not.
+func (w Wish) Left() time.Duration { return w.left }
+
+// Short reports whether the organisation of the call has far less than its part.
+func (w Wish) Short() bool { return w.short }
+
+// Running returns how many calls of the organisation run at the daemon that asks.
+func (w Wish) Running() int { return w.running }
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -78,6 +78,9 @@
 // Processes returns the same upstreams for plain services.
 func (r *replay) Processes(string) []Target { return r.targets }
 
+// Owner returns that the daemon of the replay keeps count itself.
+func (r *replay) Owner(Share) string { return "" }
+
 func (r *replay) feed(e Event) {
 	for _, effect := range r.state.Reduce(r.now, r, e) {
 		r.carryOut(effect)
--- a/pkg/gateway/hand.go
+++ b/pkg/gateway/hand.go
@@ -47,6 +47,8 @@
 		s.takeLetter(now, effect)
 	case demandTopic:
 		s.takeDemand(now, effect)
+	case wishTopic, placeTopic, claimTopic, crashTopic:
+		s.hearOfPlaces(now, effect)
 	}
 }
 
@@ -61,6 +63,8 @@
 		s.members.checked = time.Time{}
 	case deadTopic:
 		s.hearDeath(now, fact)
+	case crashTopic:
+		s.hearVerdict(now, fact)
 	}
 }
 
@@ -114,6 +118,9 @@
 }
 
 func (s *State) fromDispatch(now time.Time, effect dispatch.Effect) {
+	if s.tellOfPlaces(now, effect) {
+		return
+	}
 	suspect, isSuspect := effect.(dispatch.Suspect)
 	if !isSuspect {
 		s.emit(ToDispatch{effect})
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -71,6 +71,7 @@
 	s.chooseReaders(now, ranking)
 	s.chooseLeader(now, ranking)
 	s.advertise(fresh)
+	s.keep(now, fresh)
 	s.countSharers(now, fresh)
 }
 
--- /dev/null
+++ b/pkg/gateway/place.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/peer"
+)
+
+// The topics of letters about places at replicas.
+const (
+	wishTopic  = "wish"  // a daemon asks the one that keeps count
+	placeTopic = "place" // the answer
+	claimTopic = "claim" // how many calls a daemon has where
+	crashTopic = "crash" // a request was at an upstream that broke off
+)
+
+// The lengths of the arrays that stand for letters about places.
+const (
+	fieldsOfWish  = 9
+	fieldsOfPlace = 5
+	fieldsOfCrash = 2
+	maxClaims     = 1024
+)
+
+// Owner returns the daemon that keeps count of the calls in a share of the replicas, empty for this one: of those that
+// are live the one with the highest hash, so that few shares move when one comes or goes.
+func (s *State) Owner(share dispatch.Share) string {
+	owner, isKnown := s.owners[share]
+	if !isKnown {
+		owner = s.keeperOf(share.String())
+		s.owners[share] = owner
+	}
+	if owner == s.members.self {
+		return ""
+	}
+	return owner
+}
+
+// keeperOf returns the daemon that keeps something for all.
+func (s *State) keeperOf(key string) string {
+	weight := func(name string) uint64 { return xxhash.Sum64String(key + " " + name) }
+	return slices.MaxFunc(s.keepers, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b))
+	})
+}
+
+// keep takes over which daemons keep count: all that are live and not about to stop.
+func (s *State) keep(now time.Time, fresh []peer.Member) {
+	keepers := []string{s.members.self}
+	for _, one := range fresh {
+		if !one.Leaving() {
+			keepers = append(keepers, one.Name())
+		}
+	}
+	if !s.stopping.IsZero() && len(keepers) > 1 {
+		keepers = keepers[1:]
+	}
+	slices.Sort(keepers)
+	if !slices.Equal(keepers, s.keepers) {
+		s.keepers = keepers
+		clear(s.owners)
+		s.toDispatch(now, dispatch.NewPeered(keepers))
+	}
+}
+
+// tellOfPlaces sends what the dispatch has to say to another daemon, and reports whether that was it.
+func (s *State) tellOfPlaces(now time.Time, effect dispatch.Effect) bool {
+	var to, topic string
+	var values []any
+	switch effect := effect.(type) {
+	case dispatch.Ask:
+		to, topic, values = effect.Owner(), wishTopic, valuesOfWish(effect.Wish())
+	case dispatch.Grant:
+		to, topic, values = effect.To(), placeTopic, valuesOfPlace(effect.Answer())
+	case dispatch.Claim:
+		to, topic, values = effect.Owner(), claimTopic, valuesOfClaims(effect.Calls())
+	case dispatch.Crash:
+		key := strconv.FormatUint(effect.Content(), hex)
+		to, topic, values = s.keeperOf(key), crashTopic, []any{effect.Content(), effect.Upstream()}
+		if to == s.members.self {
+			s.toDispatch(now, dispatch.NewCrashed(effect.Content(), effect.Upstream()))
+			return true
+		}
+	case dispatch.Condemn:
+		s.condemn(now, effect)
+		return true
+	default:
+		return false
+	}
+	data, err := encodeValues(values)
+	if err != nil {
+		s.emit(Problem{topic + " not encoded", err.Error()})
+		return true
+	}
+	s.toPeer(now, peer.NewTell(to, topic, data))
+	return true
+}
+
+func valuesOfWish(w dispatch.Wish) []any {
+	return []any{
+		w.Ask(), w.Share().Model(), w.Share().Number(), w.Prompt(), w.Priority(),
+		w.Fresh().Milliseconds(), w.Left().Milliseconds(), w.Short(), w.Running(),
+	}
+}
+
+func valuesOfPlace(a dispatch.Granted) []any {
+	return []any{a.Ask(), uint8(a.Verdict()), a.Upstream(), a.Calls(), a.Excess()}
+}
+
+func valuesOfClaims(calls map[string]int) []any {
+	var values []any
+	for _, head := range slices.Sorted(maps.Keys(calls)) {
+		values = append(values, []any{head, calls[head]})
+	}
+	return values
+}
+
+func encodeValues(values []any) ([]byte, error) {
+	var buffer bytes.Buffer
+	e := msgpack.NewEncoder(&buffer)
+	e.UseCompactInts(true)
+	err := e.Encode(values)
+	return buffer.Bytes(), trace.Wrap(err)
+}
+
+// hearOfPlaces takes in what another daemon says of places.
+func (s *State) hearOfPlaces(now time.Time, told peer.Told) {
+	event, err := decodePlaces(told.Topic(), told.From(), told.Data())
+	if err != nil {
+		s.emit(Problem{told.Topic() + " of " + told.From() + " not read", err.Error()})
+		return
+	}
+	s.toDispatch(now, event)
+}
+
+func decodePlaces(topic, from string, data []byte) (dispatch.Event, error) {
+	f := fields{decoder: msgpack.NewDecoder(bytes.NewReader(data))}
+	switch topic {
+	case wishTopic:
+		return dispatch.NewWished(from, f.wish()), f.err
+	case placeTopic:
+		return f.place(), f.err
+	case claimTopic:
+		return dispatch.NewClaimed(from, f.claims()), f.err
+	default:
+		return f.crash(), f.err
+	}
+}
+
+func (f *fields) crash() dispatch.Crashed {
+	if n := f.length(fieldsOfCrash); n != fieldsOfCrash {
+		f.keep(trace.BadParameter("crash of %d fields", n))
+	}
+	return dispatch.NewCrashed(f.number(), f.text())
+}
+
+// hex is the base in which contents of requests are written.
+const hex = 16
+
+// condemn tells all daemons at how many crashes copies of a request were.
+func (s *State) condemn(now time.Time, effect dispatch.Condemn) {
+	content, crashes := effect.Content(), effect.Crashes()
+	s.emit(Problem{"request seems to crash upstreams", fmt.Sprintf("content=%x crashes=%d", content, crashes)})
+	key := strconv.FormatUint(content, hex)
+	s.toPeer(now, peer.NewShared(crashTopic, key, []byte{byte(crashes)}, now.Add(effect.Lasts())))
+	s.toDispatch(now, dispatch.NewCondemned(content, crashes, effect.Lasts()))
+}
+
+// hearVerdict takes in at how many crashes copies of a request were.
+func (s *State) hearVerdict(now time.Time, fact peer.Learn) {
+	content, err := strconv.ParseUint(fact.Key(), hex, 64)
+	if err != nil || len(fact.Value()) != 1 {
+		s.emit(Problem{"verdict of " + fact.Origin() + " not read", fact.Key()})
+		return
+	}
+	s.toDispatch(now, dispatch.NewCondemned(content, int(fact.Value()[0]), fact.Expiry().Sub(now)))
+}
+
+func (f *fields) wish() dispatch.Wish {
+	if n := f.length(fieldsOfWish); n != fieldsOfWish {
+		f.keep(trace.BadParameter("question of %d fields", n))
+	}
+	ask, model, number := f.number(), f.text(), f.number()
+	w := dispatch.NewWish(ask, dispatch.NewShare(model, number), int(f.signed()))
+	w = w.WithPatience(int(f.signed()), f.milliseconds(), f.milliseconds())
+	return w.WithOrganisation(f.flag(), int(f.signed()))
+}
+
+func (f *fields) milliseconds() time.Duration { return time.Duration(f.signed()) * time.Millisecond }
+
+func (f *fields) place() dispatch.Granted {
+	if n := f.length(fieldsOfPlace); n != fieldsOfPlace {
+		f.keep(trace.BadParameter("answer of %d fields", n))
+	}
+	ask, verdict, upstream := f.number(), dispatch.Verdict(f.number()), f.text()
+	if verdict > dispatch.Uncounted {
+		f.keep(trace.BadParameter("verdict %d", verdict))
+	}
+	calls := int(f.signed())
+	return dispatch.NewGranted(ask, verdict, int(f.signed())).WithPlace(upstream, calls)
+}
+
+func (f *fields) claims() map[string]int {
+	claims := map[string]int{}
+	for range f.length(maxClaims) {
+		f.length(2)
+		head := f.text()
+		claims[head] = int(f.signed())
+	}
+	return claims
+}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -43,6 +43,8 @@
 	planned   time.Time
 	weighed   time.Time
 	demands   map[string]demanded // what daemons told this one as the leader
+	keepers   []string            // the daemons that keep count of calls at replicas, in order
+	owners    map[dispatch.Share]string
 	effects   []Effect
 }
 
@@ -85,9 +87,11 @@
 	s.members = newMembers(now, i.name)
 	s.spread = newSpread(now)
 	s.demands = map[string]demanded{}
+	s.owners = map[dispatch.Share]string{}
 	s.random = rand.New(rand.NewPCG(i.seed, gatewaySeed))
 	s.replica = replica.New(replica.NewSettings(i.record, i.name+"/"+i.start, i.seed).WithFirst(i.first))
 	s.dispatch = dispatch.New(dispatch.NewSettings(i.seed, i.retries))
+	s.keep(now, nil)
 	s.toPeer(now, peer.NewConfigured(peer.NewSettings(i.name, i.address, i.front, i.centre, i.seed).
 		WithSeeds(i.seeds...).
 		WithBackoff(storeBackoff).
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -241,6 +241,18 @@
 	panic("no domain with one large and two small replicas")
 }
 
+func TestLooks(t *testing.T) {
+	Convey("A daemon that does not lead looks at a dead instance only until it is known to be dead", t, func() {
+		w := newWorld(3, 8, 2)
+		w.run(50 * time.Second)
+		w.daemons[0].looks, w.daemons[1].looks = 0, 0
+		w.kill(w.engines[3].id)
+		w.run(3 * time.Second) // until it is unlisted
+		So(w.daemons[1].looks, ShouldEqual, missesToDie)
+		So(w.daemons[0].looks, ShouldBeGreaterThan, missesToDie)
+	})
+}
+
 func TestOrdersInTurn(t *testing.T) {
 	Convey("An instance gets no order while another one to it is not answered", t, func() {
 		w := newWorld(6, 8, 1)
--- a/pkg/replica/suspect.go
+++ b/pkg/replica/suspect.go
@@ -6,7 +6,8 @@
 const (
 	missesToDie = 2                      // one lost packet is not a death
 	lookPause   = 150 * time.Millisecond // a look takes at most 250 ms; two misses are known in half a second
-	deadPause   = time.Second            // a dead instance is looked at that often until it answers or is unlisted
+	deadPause   = time.Second            // the leader looks at a dead instance that often until it answers or is unlisted
+	otherPause  = 4 * time.Second        // others do so; a silent instance is unlisted after three heartbeats
 )
 
 // suspect looks at an instance that may be dead.
@@ -71,8 +72,12 @@
 
 // lookAgain looks at dead instances now and then, since they may have been out of reach only.
 func (s *State) lookAgain(now time.Time) {
+	pause := otherPause
+	if s.leads {
+		pause = deadPause
+	}
 	for _, id := range s.ids() {
-		if n := s.nodes[id]; n.dead && !n.looking && now.Sub(n.looked) >= deadPause {
+		if n := s.nodes[id]; n.dead && !n.looking && now.Sub(n.looked) >= pause {
 			s.look(now, id, n)
 		}
 	}
--- a/pkg/replica/world_test.go
+++ b/pkg/replica/world_test.go
@@ -79,6 +79,7 @@
 	state State
 	down  bool
 	heard map[ID]Instance // as it was listed last
+	looks int
 }
 
 func newWorld(domains, each, daemons int) *world {
@@ -246,6 +247,7 @@
 		w.orders++
 		w.order(d, effect)
 	case Look:
+		d.looks++
 		w.look(d, effect)
 	case Spread:
 		for _, other := range w.daemons {
