--- a/pkg/dispatch/grant_test.go
+++ b/pkg/dispatch/grant_test.go
@@ -56,6 +56,19 @@
 	})
 }
 
+func TestLineMoves(t *testing.T) {
+	Convey("Calls that wait for a place get one when a replica comes back, though no daemon tells of a free place", t, func() {
+		w := newCrowd(8, 1, false)
+		for daemon := range 8 {
+			w.daemons[daemon].upstream("h0").avoid = w.now.Add(100 * time.Millisecond)
+			w.arrive(daemon, worldLimit)
+		}
+		w.run(time.Second)
+		_, served := w.onTime()
+		So(served, ShouldEqual, 1)
+	})
+}
+
 func TestComingAgain(t *testing.T) {
 	// again replays callers that come for the first time, and others that come again at that rate.
 	again := func(isOpen bool, rate float64) (first, second float64) {
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -72,11 +72,11 @@
 // set takes over how many calls a daemon has, and forgets claims that were not renewed.
 func (t *tally) set(now time.Time, from string, calls int) {
 	t.claims[from] = claim{calls, now}
-	for other, one := range t.claims {
-		if one.calls <= 0 || now.Sub(one.at) > claimKept {
-			delete(t.claims, other)
-		}
-	}
+	t.lapse(now)
+}
+
+func (t *tally) lapse(now time.Time) {
+	maps.DeleteFunc(t.claims, func(_ string, one claim) bool { return one.calls <= 0 || now.Sub(one.at) > claimKept })
 }
 
 // read takes over that prompts were read meanwhile.
@@ -286,6 +286,23 @@
 	return Share{}, false
 }
 
+// serveLines serves the calls that wait here for places of which no daemon tells: a replica came, or claims lapsed.
+func (s *State) serveLines(now time.Time, up Upstreams) {
+	waiting := map[Share]bool{}
+	for share, l := range s.ledgers {
+		if len(l.wishes) == 0 {
+			continue
+		}
+		waiting[share] = true
+		for _, count := range l.heads {
+			count.lapse(now)
+		}
+	}
+	for _, share := range sortedShares(waiting) {
+		s.serveWishes(now, up, share)
+	}
+}
+
 func sortedShares(set map[Share]bool) []Share {
 	return slices.SortedFunc(maps.Keys(set), func(a, b Share) int {
 		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.number, b.number))
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -141,6 +141,7 @@
 	s.checkAsks(now, up)
 	s.serveQueue(now, up)
 	s.tellClaims(now, up)
+	s.serveLines(now, up)
 	if now.Sub(s.cleaned) >= forgetAfter {
 		s.cleaned = now
 		s.forget(now)
