--- a/pkg/dispatch/crowd_test.go
+++ b/pkg/dispatch/crowd_test.go
@@ -23,9 +23,10 @@
 	later   []due
 	letters int
 	crashes int
-	silent  bool          // no daemon answers another
-	blind   int           // that many daemons know of no replica
-	again   time.Duration // the time that is left to the callers of the next arrivals, 0 for all of it
+	slow    map[string]int // how many times as long calls take at a replica
+	silent  bool           // no daemon answers another
+	blind   int            // that many daemons know of no replica
+	again   time.Duration  // the time that is left to the callers of the next arrivals, 0 for all of it
 }
 
 // crowdCall is one request of a caller at one daemon.
@@ -106,7 +107,7 @@
 		case Grant:
 			w.tell(effect.To(), effect.Answer())
 		case Claim:
-			w.tell(effect.Owner(), NewClaimed(name, effect.Calls()))
+			w.tell(effect.Owner(), NewClaimed(name, effect.Held()))
 		case Send:
 			w.send(w.calls[effect.ID()], effect)
 		case Refuse:
@@ -164,9 +165,9 @@
 			w.crash(name)
 			return
 		}
-		a := c.attempt
-		w.after(worldFirst, func() { w.begin(c, a) })
-		w.after(worldTime, func() { w.end(c, a) })
+		a, slow := c.attempt, time.Duration(max(w.slow[name], 1))
+		w.after(slow*worldFirst, func() { w.begin(c, a) })
+		w.after(slow*worldTime, func() { w.end(c, a) })
 	}
 }
 
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -118,14 +118,14 @@
 // Claim tells the daemon that keeps count how many calls this one has at some replicas.
 type Claim struct {
 	owner string
-	calls map[string]int
+	held  map[string]Held
 }
 
 // Owner returns the daemon that is told.
 func (c Claim) Owner() string { return c.owner }
 
-// Calls returns how many calls this daemon has at each replica, by its head.
-func (c Claim) Calls() map[string]int { return c.calls }
+// Held returns what this daemon has at each replica, by its head.
+func (c Claim) Held() map[string]Held { return c.held }
 
 // Grant answers a daemon that asked for a place.
 type Grant struct {
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -203,12 +203,12 @@
 
 // Claimed says how many calls another daemon has at some upstreams.
 type Claimed struct {
-	from  string
-	calls map[string]int
+	from string
+	held map[string]Held
 }
 
-// NewClaimed returns the event that a daemon has so many calls at each of some upstreams.
-func NewClaimed(from string, calls map[string]int) Claimed { return Claimed{from, calls} }
+// NewClaimed returns the event that a daemon has so much at each of some replicas, by their heads.
+func NewClaimed(from string, held map[string]Held) Claimed { return Claimed{from, held} }
 
 // Left says that the caller of a request went away.
 type Left struct{ id ID }
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -90,11 +90,11 @@
 	s.answered(now, up, s.consider(now, up, "", wish))
 }
 
-// pickShare returns the less full one of two shares, drawn at random among those with replicas.
+// pickShare returns the less full one of the shares of two replicas, drawn at random.
 func (s *State) pickShare(now time.Time, up Upstreams, c *call) (Share, bool) {
 	var all []Share
 	for _, t := range s.targets(up, c) {
-		if one := shareOf(c.model, t.name); !slices.Contains(all, one) && !slices.Contains(c.denied, one) {
+		if one := shareOf(c.model, t.name); !slices.Contains(c.denied, one) {
 			all = append(all, one)
 		}
 	}
@@ -241,7 +241,7 @@
 // tellClaims tells the daemons that keep count how many calls this one has at replicas where that changed, or whose count
 // another daemon keeps now.
 func (s *State) tellClaims(now time.Time, up Upstreams) {
-	claims := map[string]map[string]int{}
+	claims := map[string]map[string]Held{}
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[name]
 		if u.model == "" || u.running == 0 && !s.changed[name] {
@@ -253,9 +253,10 @@
 		}
 		u.owner = owner
 		if claims[owner] == nil {
-			claims[owner] = map[string]int{}
+			claims[owner] = map[string]Held{}
 		}
-		claims[owner][name] = u.running
+		claims[owner][name] = Held{u.running, u.pace}
+		u.pace = 0
 	}
 	clear(s.changed)
 	for _, owner := range slices.Sorted(maps.Keys(claims)) {
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -25,9 +25,12 @@
 
 // tally is the count of the calls at one replica.
 type tally struct {
-	claims map[string]claim // of daemons, this one under ""
-	unread float64          // prompt tokens that are believed to wait to be read
-	at     time.Time        // when that was so
+	claims  map[string]claim // of daemons, this one under ""
+	unread  float64          // prompt tokens that are believed to wait to be read
+	at      time.Time        // when that was so
+	slow    float64          // how many times as long as expected first events take, 0 if that is not known
+	tried   bool             // a call tries whether it is still slow
+	learned time.Time        // when that was last told
 }
 
 // claim is how many calls one daemon has at a replica.
@@ -126,8 +129,8 @@
 		if calls >= t.slots+grantExcess || now.Before(s.upstream(t.name).avoid) {
 			continue
 		}
-		cost := engine.Pass(model, calls+1) + engine.Read(model, int(count.unread)+w.prompt)
-		cost = time.Duration(float64(cost) * t.pace)
+		cost := time.Duration(firstPasses*float64(engine.Pass(model, calls+1))) + engine.Read(model, int(count.unread)+w.prompt)
+		cost = time.Duration(float64(cost) * t.pace * count.factor(now))
 		if !isFound || cost < least {
 			best, least, isFound = t, cost, true
 		}
@@ -140,17 +143,18 @@
 	count := l.tally(head.name)
 	count.claims[w.from] = claim{count.claims[w.from].calls + 1, now}
 	count.unread += float64(w.prompt)
+	count.try(now)
 	return Granted{
-		ask: w.ask, verdict: Given, upstream: head.name, calls: count.total(), excess: len(l.wishes) - s.free(up, w.share),
+		ask: w.ask, verdict: Given, upstream: head.name, calls: count.total(), excess: len(l.wishes) - s.free(now, up, w.share),
 	}
 }
 
-// free returns how many places are free in a share.
-func (s *State) free(up Upstreams, share Share) int {
+// free returns how many places are free in a share, without those at slow replicas.
+func (s *State) free(now time.Time, up Upstreams, share Share) int {
 	l := s.ledger(share)
 	free := 0
 	for _, t := range up.Replicas(share.model) {
-		if shareOf(share.model, t.name) == share {
+		if shareOf(share.model, t.name) == share && l.tally(t.name).factor(now) == 1 {
 			free += max(t.slots+grantExcess-l.tally(t.name).total(), 0)
 		}
 	}
@@ -255,17 +259,18 @@
 // claimed takes in how many calls a daemon has at some replicas.
 func (s *State) claimed(now time.Time, up Upstreams, e Claimed) {
 	freed := map[Share]bool{}
-	for _, name := range slices.Sorted(maps.Keys(e.calls)) {
+	for _, name := range slices.Sorted(maps.Keys(e.held)) {
 		share, isKnown := s.shareOfHead(up, name)
 		if !isKnown {
 			continue
 		}
 		l := s.ledger(share)
 		count := l.tally(name)
-		for range count.claims[e.from].calls - e.calls[name] {
+		for range count.claims[e.from].calls - e.held[name].calls {
 			l.ended.add(now)
 		}
-		count.set(now, e.from, e.calls[name])
+		count.set(now, e.from, e.held[name].calls)
+		count.learn(now, e.held[name].pace)
 		freed[share] = true
 	}
 	for _, share := range sortedShares(freed) {
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -30,6 +30,7 @@
 	}
 	s.readPrompt(a)
 	s.served(now, a.call)
+	s.observe(now, a)
 }
 
 func (s *State) readPrompt(a *attempt) {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -100,7 +100,6 @@
 			return one, false
 		}
 	}
-	one.cost = time.Duration(float64(one.cost) * own.slow)
 	if !t.near {
 		one.cost += farCost
 	}
--- /dev/null
+++ b/pkg/dispatch/slow.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import "time"
+
+// The decisions of this file answer replicas that are slow, as one with a slow member is: their calls are late whatever
+// they were given. Each daemon tells how long first events took beside what was expected; the one that keeps count gives
+// places there last.
+
+// How slowness is found and forgotten.
+const (
+	slowGain  = 0.2                   // weight of one first event; five in a row tell, and one prompt before others does not
+	slowLeast = 1.8                   // of the expected time; prompts of others make up to half as much more
+	slowKept  = 5 * time.Second       // after which a replica without calls is tried again
+	wayTime   = 10 * time.Millisecond // to the replica and back, with a new connection
+)
+
+// Held is what a daemon has at a replica.
+type Held struct {
+	calls int
+	pace  float64
+}
+
+// NewHeld returns that a daemon has so many calls at a replica, and how many times as long as expected first events took
+// since it was told last, 0 if there were none.
+func NewHeld(calls int, pace float64) Held { return Held{calls, pace} }
+
+// Calls returns how many calls the daemon has there.
+func (h Held) Calls() int { return h.calls }
+
+// Pace returns how many times as long as expected first events took, 0 if there were none.
+func (h Held) Pace() float64 { return h.pace }
+
+// observe takes in when the first event of a call came.
+func (s *State) observe(now time.Time, a *attempt) {
+	if !s.isModel(a.call) {
+		return
+	}
+	engine, model := s.engineOf(a.call)
+	expected := wayTime + firstReads*engine.Read(model, a.call.prompt) +
+		time.Duration(firstPasses*float64(engine.Pass(model, max(a.own.running, a.own.load.running))))
+	a.own.pace = float64(now.Sub(a.at)) / float64(expected)
+	s.changed[a.target()] = true
+}
+
+// learn takes over how long first events took at a replica.
+func (t *tally) learn(now time.Time, pace float64) {
+	if pace <= 0 {
+		return
+	}
+	if t.slow == 0 {
+		t.slow = 1
+	}
+	if t.tried {
+		t.slow, t.tried = pace, false
+	}
+	t.slow += slowGain * (pace - t.slow)
+	t.learned = now
+}
+
+// try notes that a slow replica gets one call again, to find out whether it still is.
+func (t *tally) try(now time.Time) {
+	if t.slow >= slowLeast && t.factor(now) == 1 {
+		t.learned, t.tried = now, true
+	}
+}
+
+// factor returns by how much a replica is slower than expected, 1 if it is not.
+func (t *tally) factor(now time.Time) float64 {
+	if t.slow < slowLeast || now.Sub(t.learned) > slowKept {
+		return 1
+	}
+	return t.slow
+}
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -69,7 +69,7 @@
 	avoid    time.Time // no new requests until then
 	used     time.Time
 	failures int
-	slow     float64 // how much longer answers take than expected, 1 for as expected
+	pace     float64 // how many times as long as expected the last first event took, 0 if that was told
 }
 
 // calls returns how many requests the upstream is believed to have.
@@ -114,7 +114,7 @@
 func (s *State) upstream(name string) *upstream {
 	u := s.upstreams[name]
 	if u == nil {
-		u = &upstream{slow: 1}
+		u = &upstream{}
 		s.upstreams[name] = u
 	}
 	return u
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -30,6 +31,7 @@
 	fieldsOfWish  = 9
 	fieldsOfPlace = 5
 	fieldsOfCrash = 2
+	fieldsOfClaim = 3
 	maxClaims     = 1024
 )
 
@@ -84,7 +86,7 @@
 	case dispatch.Grant:
 		to, topic, values = effect.To(), placeTopic, valuesOfPlace(effect.Answer())
 	case dispatch.Claim:
-		to, topic, values = effect.Owner(), claimTopic, valuesOfClaims(effect.Calls())
+		to, topic, values = effect.Owner(), claimTopic, valuesOfClaims(effect.Held())
 	case dispatch.Crash:
 		key := strconv.FormatUint(effect.Content(), hex)
 		to, topic, values = s.keeperOf(key), crashTopic, []any{effect.Content(), effect.Upstream()}
@@ -118,10 +120,13 @@
 	return []any{a.Ask(), uint8(a.Verdict()), a.Upstream(), a.Calls(), a.Excess()}
 }
 
-func valuesOfClaims(calls map[string]int) []any {
+// paceParts is in how many parts the pace of a replica is told.
+const paceParts = 10
+
+func valuesOfClaims(held map[string]dispatch.Held) []any {
 	var values []any
-	for _, head := range slices.Sorted(maps.Keys(calls)) {
-		values = append(values, []any{head, calls[head]})
+	for _, head := range slices.Sorted(maps.Keys(held)) {
+		values = append(values, []any{head, held[head].Calls(), int(math.Round(held[head].Pace() * paceParts))})
 	}
 	return values
 }
@@ -211,12 +216,12 @@
 	return dispatch.NewGranted(ask, verdict, int(f.signed())).WithPlace(upstream, calls)
 }
 
-func (f *fields) claims() map[string]int {
-	claims := map[string]int{}
+func (f *fields) claims() map[string]dispatch.Held {
+	claims := map[string]dispatch.Held{}
 	for range f.length(maxClaims) {
-		f.length(2)
-		head := f.text()
-		claims[head] = int(f.signed())
+		f.length(fieldsOfClaim)
+		head, calls := f.text(), int(f.signed())
+		claims[head] = dispatch.NewHeld(calls, float64(f.signed())/paceParts)
 	}
 	return claims
 }
