--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -23,7 +23,7 @@
 const (
 	askLimit = 40 * time.Millisecond // ten round trips between the data centres of a region
 	askMute  = time.Second           // a daemon that did not answer is not asked; a restart takes about as long
-	askTries = 2                     // shares asked for one call; if the lines of two are too long, those of all are
+	askTries = 2                     // shares asked for a free place before a call waits for one
 )
 
 // Share is a part of the replicas of a model, whose count one daemon keeps.
@@ -53,6 +53,7 @@
 	share Share
 	owner string
 	until time.Time // when an answer is due
+	last  bool      // no other share is asked
 	waits bool      // the call waits there until a place becomes free
 }
 
@@ -68,19 +69,25 @@
 // mayAsk reports whether a call is to have a place before it is sent; what has run already is not held up.
 func (s *State) mayAsk(c *call) bool { return !s.open && c.sends == 0 && s.isModel(c) }
 
-// askFor asks for a place for a call, or sends it if there is nobody to ask.
+// askFor asks for a free place for a call, first in two shares and then for one to wait for in the less full of all; it
+// sends the call if there is nobody to ask.
 func (s *State) askFor(now time.Time, up Upstreams, c *call) {
 	share, isFound := s.pickShare(now, up, c)
+	left := time.Duration(0)
+	if len(c.denied) >= askTries || !isFound {
+		share, isFound = s.leastShare(now, up, c)
+		left = max(s.patienceOf(c).Sub(now), 1)
+	}
 	owner := up.Owner(share)
 	if !isFound || now.Before(s.mute[owner]) {
 		s.placeUnasked(now, up, c)
 		return
 	}
 	s.asked++
-	s.asks[s.asked] = &ask{c, share, owner, now.Add(askLimit), false}
+	s.asks[s.asked] = &ask{c, share, owner, now.Add(askLimit), left > 0, false}
 	wish := Wish{
 		ask: s.asked, share: share, prompt: c.prompt, priority: c.priority,
-		fresh: max(s.freshUntil(c).Sub(now), 0), left: max(s.patienceOf(c).Sub(now), 0),
+		fresh: max(s.freshUntil(c).Sub(now), 0), left: left,
 		short: s.isShort(c), running: s.running[c.organisation],
 	}
 	if owner != "" {
@@ -108,6 +115,22 @@
 	return a, true
 }
 
+// leastShare returns the share of a model that is believed to be the least full for its replicas.
+func (s *State) leastShare(now time.Time, up Upstreams, c *call) (Share, bool) {
+	replicas := map[Share]int{}
+	for _, t := range s.targets(up, c) {
+		replicas[shareOf(c.model, t.name)]++
+	}
+	var best Share
+	least := 0.0
+	for i, one := range sortedShares(replicas) {
+		if fullness := float64(s.excess(now, one)) / float64(replicas[one]); i == 0 || fullness < least {
+			best, least = one, fullness
+		}
+	}
+	return best, len(replicas) > 0
+}
+
 func (s *State) excess(now time.Time, share Share) int {
 	if p := s.pressures[share]; now.Sub(p.at) <= pressureKept {
 		return p.excess
@@ -158,7 +181,7 @@
 	}
 	s.giveBack(up, e)
 	if isLive {
-		s.denied(now, up, c, one.share, e.verdict)
+		s.denied(now, up, c, one, e.verdict)
 	}
 }
 
@@ -181,7 +204,7 @@
 		return false
 	}
 	t := s.targets(up, c)[i]
-	own.report(now, NewLoad(e.calls, 0, t.slots))
+	own.report(now, NewLoad(e.calls-1, 0, t.slots)) // the call itself is counted when it is sent
 	one := choice{target: t, own: own, calls: float64(e.calls)}
 	one.cost = s.firstEvent(c, one)
 	s.send(now, c, one, e.calls)
@@ -189,24 +212,18 @@
 }
 
 // denied asks for a place in another share, and refuses the call if that helps no more.
-func (s *State) denied(now time.Time, up Upstreams, c *call, share Share, verdict Verdict) {
-	c.denied = append(c.denied, share)
+func (s *State) denied(now time.Time, up Upstreams, c *call, one *ask, verdict Verdict) {
+	c.denied = append(c.denied, one.share)
 	switch {
 	case verdict == Given, verdict == Uncounted:
 		s.placeUnasked(now, up, c)
-	case len(c.denied) < askTries && s.hasOtherShare(up, c):
+	case !one.last:
 		s.askFor(now, up, c)
 	default:
 		s.giveUp(now, c, Overload, s.again(now, up, c))
 	}
 }
 
-func (s *State) hasOtherShare(up Upstreams, c *call) bool {
-	return slices.ContainsFunc(s.targets(up, c), func(t Target) bool {
-		return !slices.Contains(c.denied, shareOf(c.model, t.name))
-	})
-}
-
 // checkAsks goes on with the calls whose question was not answered in time, or waits with a daemon that does not keep the
 // count any more.
 func (s *State) checkAsks(now time.Time, up Upstreams) {
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -92,7 +92,7 @@
 func (s *State) consider(now time.Time, up Upstreams, from string, w Wish) Granted {
 	l := s.ledger(w.share)
 	one := wish{w, from, now}
-	answer := Granted{ask: w.ask, verdict: Denied, excess: len(l.wishes)}
+	answer := Granted{ask: w.ask, verdict: Denied, excess: len(l.wishes) + 1}
 	if !s.isCounted(up, w.share) {
 		answer.verdict = Uncounted
 		return answer
@@ -125,6 +125,7 @@
 		}
 		count := l.tally(t.name)
 		count.read(now, readPart/max(engine.Read(model, 1).Seconds()*t.pace, 1e-9))
+		count.lapse(now)
 		calls := count.total()
 		if calls >= t.slots+grantExcess || now.Before(s.upstream(t.name).avoid) {
 			continue
@@ -258,7 +259,7 @@
 
 // claimed takes in how many calls a daemon has at some replicas.
 func (s *State) claimed(now time.Time, up Upstreams, e Claimed) {
-	freed := map[Share]bool{}
+	freed := map[Share]int{}
 	for _, name := range slices.Sorted(maps.Keys(e.held)) {
 		share, isKnown := s.shareOfHead(up, name)
 		if !isKnown {
@@ -271,7 +272,7 @@
 		}
 		count.set(now, e.from, e.held[name].calls)
 		count.learn(now, e.held[name].pace)
-		freed[share] = true
+		freed[share]++
 	}
 	for _, share := range sortedShares(freed) {
 		s.serveWishes(now, up, share)
@@ -293,12 +294,12 @@
 
 // serveLines serves the calls that wait here for places of which no daemon tells: a replica came, or claims lapsed.
 func (s *State) serveLines(now time.Time, up Upstreams) {
-	waiting := map[Share]bool{}
+	waiting := map[Share]int{}
 	for share, l := range s.ledgers {
 		if len(l.wishes) == 0 {
 			continue
 		}
-		waiting[share] = true
+		waiting[share]++
 		for _, count := range l.heads {
 			count.lapse(now)
 		}
@@ -308,7 +309,7 @@
 	}
 }
 
-func sortedShares(set map[Share]bool) []Share {
+func sortedShares(set map[Share]int) []Share {
 	return slices.SortedFunc(maps.Keys(set), func(a, b Share) int {
 		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.number, b.number))
 	})
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -48,11 +48,13 @@
 	isReader bool
 	counts   map[string]time.Time // when a member was last live
 	sharers  int
+	starts   map[string]start // the last start of each daemon
 }
 
 func newMembers(now time.Time, self string) members {
 	return members{
 		self: self, began: now, cut: map[string]bool{}, outage: map[string]outage{}, counts: map[string]time.Time{},
+		starts: map[string]start{},
 	}
 }
 
@@ -115,9 +117,7 @@
 			able = append(able, one)
 		}
 	}
-	slices.SortFunc(able, func(a, b peer.Member) int {
-		return cmp.Or(cmp.Compare(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Name(), b.Name()))
-	})
+	slices.SortFunc(able, byAge)
 	names := make([]string, 0, len(able))
 	for _, one := range able {
 		names = append(names, one.Name())
@@ -125,6 +125,27 @@
 	return names
 }
 
+// byAge orders daemons by their start, the oldest first.
+func byAge(a, b peer.Member) int {
+	return cmp.Or(cmp.Compare(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Name(), b.Name()))
+}
+
+// start is a start of a daemon, and when this one first heard of it.
+type start struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// seenSince returns when a start of a daemon was first heard of.
+func (m *members) seenSince(now time.Time, one peer.Member) time.Time {
+	known := m.starts[one.Name()]
+	if known.incarnation != one.Incarnation() {
+		known = start{one.Incarnation(), now}
+		m.starts[one.Name()] = known
+	}
+	return known.at
+}
+
 // outage is what a peer told of its reach of the store.
 type outage struct {
 	reach byte
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -57,22 +57,53 @@
 	})
 }
 
-// keep takes over which daemons keep count: all that are live and not about to stop.
+// The choice of the daemons that keep count.
+const (
+	keepersMost = 16              // two models have eight shares; daemons that start and stop are seldom among the oldest
+	keeperAge   = 3 * time.Second // a daemon that has just started knows of no replica for up to a second
+)
+
+// keep takes over which daemons keep count: the oldest that are live and not about to stop, so that few shares move while
+// daemons are restarted one after the other.
 func (s *State) keep(now time.Time, fresh []peer.Member) {
-	keepers := []string{s.members.self}
-	for _, one := range fresh {
-		if !one.Leaving() {
-			keepers = append(keepers, one.Name())
+	live := []string{s.members.self}
+	var old, young []peer.Member
+	for _, one := range append(s.ownMember(), fresh...) {
+		if one.Name() != s.members.self {
+			live = append(live, one.Name())
 		}
+		switch {
+		case one.Leaving() || one.Name() == s.members.self && !s.stopping.IsZero():
+		case now.Sub(s.members.seenSince(now, one)) >= keeperAge:
+			old = append(old, one)
+		default:
+			young = append(young, one)
+		}
+	}
+	if len(old) == 0 {
+		old = young
+	}
+	s.chooseKeepers(old)
+	slices.Sort(live)
+	if !slices.Equal(live, s.live) {
+		s.live = live
+		s.toDispatch(now, dispatch.NewPeered(live))
+	}
+}
+
+// chooseKeepers makes the oldest of some daemons keep count, this one if there are none.
+func (s *State) chooseKeepers(able []peer.Member) {
+	slices.SortFunc(able, byAge)
+	var keepers []string
+	for _, one := range able[:min(keepersMost, len(able))] {
+		keepers = append(keepers, one.Name())
 	}
-	if !s.stopping.IsZero() && len(keepers) > 1 {
-		keepers = keepers[1:]
+	if len(keepers) == 0 {
+		keepers = []string{s.members.self}
 	}
-	slices.Sort(keepers)
 	if !slices.Equal(keepers, s.keepers) {
 		s.keepers = keepers
 		clear(s.owners)
-		s.toDispatch(now, dispatch.NewPeered(keepers))
 	}
 }
 
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -43,7 +43,8 @@
 	planned   time.Time
 	weighed   time.Time
 	demands   map[string]demanded // what daemons told this one as the leader
-	keepers   []string            // the daemons that keep count of calls at replicas, in order
+	keepers   []string            // the daemons that keep count of calls at replicas, the oldest first
+	live      []string            // all daemons that are live, in order
 	owners    map[dispatch.Share]string
 	effects   []Effect
 }
