--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -45,6 +45,8 @@
 		close(d.stopped)
 	case gateway.Follow:
 		d.follow(effect.On())
+	case gateway.Measured:
+		d.measured(effect)
 	case gateway.Problem:
 		d.log.Line("daemon", effect.What(), "reason", effect.Reason())
 	case gateway.Led:
--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -9,6 +9,7 @@
 
 	named "github.com/azurepond/azurepond/internal/metrics"
 	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/gateway"
 )
 
 // note logs and counts a decision on a request.
@@ -26,6 +27,17 @@
 	}
 }
 
+// measured takes over what is under way.
+func (d *Daemon) measured(m gateway.Measured) {
+	d.recorder.Gauge(named.UnderWay, int64(m.Running()), "running")
+	d.recorder.Gauge(named.UnderWay, int64(m.Waiting()), "waiting")
+	d.recorder.Gauge(named.UnderWay, int64(m.Asking()), "asking")
+	d.recorder.Gauge(named.UnderWay, int64(m.Lines()), "lines")
+	for service, left := range m.Repeats() {
+		d.recorder.Gauge(named.RepeatsLeft, int64(left), service)
+	}
+}
+
 // metricsHandler serves the metrics in text form.
 func metricsHandler(registry metrics.Registry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,24 @@
 	}
 }
 
+// pacing is how the events of a stream came.
+type pacing struct {
+	last    time.Time
+	first   time.Duration // until the first event
+	longest time.Duration // between two events
+}
+
+func (p *pacing) begin(now time.Time) { p.last = now }
+
+func (p *pacing) event(now time.Time, isFirst bool) {
+	if passed := now.Sub(p.last); isFirst {
+		p.first = passed
+	} else {
+		p.longest = max(p.longest, passed)
+	}
+	p.last = now
+}
+
 // maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 1 << 20
 
@@ -47,14 +65,20 @@
 	whole := make(chan struct{})
 	defer close(whole)
 	var pauses atomic.Int32
+	var paces pacing
+	paces.begin(time.Now())
 	go e.daemon.watchSilence(send.Attempt(), silent, &pauses, whole)
 	err := e.relay(done, func(first bool) {
 		pauses.Store(0)
 		silent.Reset(send.Silence())
+		paces.event(time.Now(), first)
 		if first {
 			e.daemon.feedDispatch(dispatch.NewFlowed(send.Attempt()))
 		}
 	})
+	if paces.first > 0 {
+		e.daemon.recorder.Streamed(send.Route(), paces.first, paces.longest)
+	}
 	if err != nil {
 		done.Abort()
 		e.daemon.log.Line("upstream", "stream cut", "id", e.name, "upstream", send.Upstream(), "last", e.last, "err", err.Error())
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -34,6 +34,27 @@
 		nil,
 		"connections", "Connections to upstreams that were opened.",
 	}
+	FirstEvent = Metric{
+		"azurepond_stream_first_seconds",
+		[]string{"route"},
+		"seconds", "Time from the send of a stream to its first event.",
+	}
+	Pause = Metric{
+		"azurepond_stream_pause_seconds",
+		[]string{"route"},
+		"seconds", "Longest pause between two events of each try of a stream.",
+	}
+	UnderWay = Metric{
+		"azurepond_requests_under_way",
+		[]string{"state"},
+		"requests", "Requests that have not ended (running), wait here (waiting), ask for a place (asking), or wait for a " +
+			"place whose count this daemon keeps (lines).",
+	}
+	RepeatsLeft = Metric{
+		"azurepond_repeats_left",
+		[]string{"service"},
+		"requests", "How often this daemon may still send requests to a service again.",
+	}
 	LinesDropped = Metric{
 		"azurepond_log_lines_dropped",
 		nil,
@@ -55,6 +76,12 @@
 // Answered takes over how long a request took until the end of its answer.
 func (r *Recorder) Answered(route string, after time.Duration) { r.time(Answer.Key(route), after) }
 
+// Streamed takes over the time to the first event of a try of a stream, and its longest pause.
+func (r *Recorder) Streamed(route string, first, pause time.Duration) {
+	r.time(FirstEvent.Key(route), first)
+	r.time(Pause.Key(route), pause)
+}
+
 // Ordered counts an order to an engine.
 func (r *Recorder) Ordered(verb, reply string) { r.add(Orders.Key(verb, reply)) }
 
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -13,6 +13,7 @@
 type Send struct {
 	attempt      Attempt
 	id           ID
+	route        string
 	upstream     string
 	address      string
 	organisation string
@@ -29,6 +30,9 @@
 // ID returns the request.
 func (s Send) ID() ID { return s.id }
 
+// Route returns the name of the route that the request came on.
+func (s Send) Route() string { return s.route }
+
 // Upstream returns the upstream that runs it.
 func (s Send) Upstream() string { return s.upstream }
 
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -132,7 +132,7 @@
 	c.tried = append(c.tried, best.target.name)
 	c.held = false
 	s.emit(Send{
-		attempt: a.id, id: c.id, upstream: best.target.name, address: best.target.address,
+		attempt: a.id, id: c.id, route: c.route.Name(), upstream: best.target.name, address: best.target.address,
 		organisation: c.organisation, priority: c.priority, left: c.ends.Sub(now), last: c.last,
 		kind: c.route.Kind(), silence: s.silenceOf(c, best.target),
 	})
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -130,6 +130,23 @@
 // Waiting returns how many requests wait for an upstream.
 func (s *State) Waiting() int { return len(s.queue) }
 
+// Asking returns how many requests ask or wait for a place at a replica.
+func (s *State) Asking() int { return len(s.asks) }
+
+// Lines returns how many requests of all daemons wait for places whose count is kept here.
+func (s *State) Lines() int {
+	count := 0
+	for _, l := range s.ledgers {
+		count += len(l.wishes)
+	}
+	return count
+}
+
+// RepeatsLeft returns how often requests to a service may still be sent again by this daemon.
+func (s *State) RepeatsLeft(now time.Time, service string) float64 {
+	return s.budget(service).left(now, s.settings.retries, s.sharers)
+}
+
 // tick ends what is overdue and sends what waits.
 func (s *State) tick(now time.Time, up Upstreams) {
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -27,6 +27,7 @@
 // weigh takes in how much work came here since the last time, and tells the leader; the leader adds up what all tell,
 // since the part that one daemon sees varies by a third from second to second.
 func (s *State) weigh(now time.Time) {
+	s.measure(now)
 	passed := now.Sub(s.weighed)
 	s.weighed = now
 	work := s.dispatch.Demand()
@@ -55,6 +56,18 @@
 	s.toPeer(now, peer.NewTell(s.members.leader, demandTopic, data))
 }
 
+// measure tells what is under way here.
+func (s *State) measure(now time.Time) {
+	m := Measured{
+		running: s.dispatch.Running(), waiting: s.dispatch.Waiting(), asking: s.dispatch.Asking(), lines: s.dispatch.Lines(),
+		repeats: map[string]float64{},
+	}
+	for _, service := range s.config.Services() {
+		m.repeats[service.Name()] = s.dispatch.RepeatsLeft(now, service.Name())
+	}
+	s.emit(m)
+}
+
 // takeDemand takes in what a daemon tells of its work.
 func (s *State) takeDemand(now time.Time, told peer.Told) {
 	var work map[string]float64
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -70,6 +70,30 @@
 // On reports whether it does.
 func (f Follow) On() bool { return f.on }
 
+// Measured tells what the daemon has under way, once a second.
+type Measured struct {
+	running int
+	waiting int
+	asking  int
+	lines   int
+	repeats map[string]float64
+}
+
+// Running returns how many requests have not ended.
+func (m Measured) Running() int { return m.running }
+
+// Waiting returns how many requests wait here for an upstream.
+func (m Measured) Waiting() int { return m.waiting }
+
+// Asking returns how many requests ask or wait for a place at a replica.
+func (m Measured) Asking() int { return m.asking }
+
+// Lines returns how many requests of all daemons wait for places whose count is kept here.
+func (m Measured) Lines() int { return m.lines }
+
+// Repeats returns how often requests to each service may still be sent again by this daemon.
+func (m Measured) Repeats() map[string]float64 { return m.repeats }
+
 // Problem is an error that is passed over, for the log.
 type Problem struct{ what, reason string }
 
@@ -113,6 +137,8 @@
 
 func (Follow) isEffect() {}
 
+func (Measured) isEffect() {}
+
 func (Problem) isEffect() {}
 
 func (ToPeer) isEffect() {}
