--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -159,3 +159,25 @@
 		So(r.failed[1], ShouldEqual, Timeout)
 	})
 }
+
+func TestLeft(t *testing.T) {
+	Convey("The work of a caller that left is ended at once, also if it waits", t, func() {
+		r := newReplay(1, 1)
+		for id := range ID(worldSlots + 1) {
+			r.arrive(id+1, "large", "/draft/x")
+		}
+		cancelled := 0
+		for id := range ID(worldSlots + 1) {
+			for _, effect := range r.state.Reduce(r.now, r, NewLeft(id+1)) {
+				if cancel, isCancel := effect.(Cancel); isCancel {
+					cancelled++
+					r.feed(NewFailed(cancel.Attempt(), Halted))
+				}
+			}
+		}
+		So(cancelled, ShouldEqual, worldSlots)
+		So(r.state.Running(), ShouldEqual, 0)
+		r.run(time.Second)
+		So(r.state.Asking()+r.state.Lines()+r.state.Waiting(), ShouldEqual, 0)
+	})
+}
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -241,6 +241,35 @@
 	panic("no domain with one large and two small replicas")
 }
 
+func TestLoadRate(t *testing.T) {
+	Convey("Loads from the weight store keep its rate while many instances come back empty, and after a takeover", t, func() {
+		w := newPressedWorld(2)
+		for i := 0; i < len(w.engines); i += 2 {
+			w.kill(w.engines[i].id)
+		}
+		w.run(4 * time.Second)
+		for i := 0; i < len(w.engines); i += 2 {
+			w.start(w.engines[i].id)
+			w.engines[i].staged = ""
+		}
+		w.run(10 * time.Second)
+		w.feed(w.daemons[0], NewLed(false))
+		w.feed(w.daemons[1], NewServed())
+		w.feed(w.daemons[1], NewLed(true))
+		w.run(60 * time.Second)
+		So(len(w.loads), ShouldBeGreaterThan, 12)
+		for i, at := range w.loads {
+			count := 0
+			for _, other := range w.loads[i:] {
+				if other.Sub(at) < loadWindow {
+					count++
+				}
+			}
+			So(count, ShouldBeLessThanOrEqualTo, 4*loadWindow.Seconds()*1.1+3)
+		}
+	})
+}
+
 func TestLooks(t *testing.T) {
 	Convey("A daemon that does not lead looks at a dead instance only until it is known to be dead", t, func() {
 		w := newWorld(3, 8, 2)
--- a/pkg/replica/world_test.go
+++ b/pkg/replica/world_test.go
@@ -70,7 +70,7 @@
 	broken  []string // rules that were broken
 	lose    func(Order) (lost bool, after time.Duration)
 	orders  int
-	loads   int
+	loads   []time.Time
 	notes   []string
 }
 
@@ -336,12 +336,19 @@
 			e.member, e.members, e.opening = Membership{}, nil, false
 		}
 	case Stage:
-		w.loads++
+		w.load()
 		w.after(modelOf(o.Model()).Load(), func() { e.staged = o.Model() })
 	}
 	return Begun
 }
 
+// load notes a load from the weight store; before the first call, loads are free.
+func (w *world) load() {
+	if w.daemons[0].state.serving {
+		w.loads = append(w.loads, w.now)
+	}
+}
+
 func modelOf(name string) route.Model {
 	if name == small.Name() {
 		return small
@@ -364,7 +371,7 @@
 	case e.staged == o.Model():
 		takes = modelOf(o.Model()).Warm()
 	default:
-		w.loads++
+		w.load()
 		e.staged = o.Model()
 	}
 	e.epoch, e.loaded, e.last = o.Epoch(), o.Model(), o.Model()
