dispatch: Compare a replica's pace with others of its share

Under load first events come late everywhere, so that all replicas counted as slow and lost places, and calls were refused beside free slots. A replica is slow now if it is so beside the median of its share, and replicas across domains have all their slots again. Failed try: places divided by the slowness against what was expected, and by the factor of replicas across domains.

--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -127,11 +127,11 @@
 		count.read(now, readPart/max(engine.Read(model, 1).Seconds()*t.pace, 1e-9))
 		count.lapse(now)
 		calls := count.total()
-		if calls >= count.places(now, t) || now.Before(s.upstream(t.name).avoid) {
+		if calls >= l.places(now, count, t) || now.Before(s.upstream(t.name).avoid) {
 			continue
 		}
 		cost := time.Duration(firstPasses*float64(engine.Pass(model, calls+1))) + engine.Read(model, int(count.unread)+w.prompt)
-		cost = time.Duration(float64(cost) * t.pace * count.factor(now))
+		cost = time.Duration(float64(cost) * t.pace * l.factor(now, count))
 		if !isFound || cost < least {
 			best, least, isFound = t, cost, true
 		}
@@ -156,8 +156,8 @@
 	l := s.ledger(share)
 	free := 0
 	for _, t := range up.Replicas(share.model) {
-		if shareOf(share.model, t.name) == share && l.tally(t.name).factor(now) == 1 {
-			free += max(l.tally(t.name).places(now, t)-l.tally(t.name).total(), 0)
+		if shareOf(share.model, t.name) == share && l.factor(now, l.tally(t.name)) == 1 {
+			free += max(l.places(now, l.tally(t.name), t)-l.tally(t.name).total(), 0)
 		}
 	}
 	return free
--- a/pkg/dispatch/part.go
+++ b/pkg/dispatch/part.go
@@ -34,9 +34,3 @@
 	}
 	return l.part(now, organisation)*count < shortPart*all
 }
-
-// places returns how many calls a replica may have: its slots, or fewer if it is slow, since each call more makes all of
-// its calls wait longer.
-func (t *tally) places(now time.Time, target Target) int {
-	return max(int(float64(target.slots)/(target.pace*t.factor(now))), 1)
-}
--- a/pkg/dispatch/slow.go
+++ b/pkg/dispatch/slow.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The decisions of this file answer replicas that are slow, as one with a slow member is: their calls are late whatever
 // they were given. Each daemon tells how long first events took beside what was expected; the one that keeps count gives
@@ -59,15 +62,32 @@
 
 // try notes that a slow replica gets one call again, to find out whether it still is.
 func (t *tally) try(now time.Time) {
-	if t.slow >= slowLeast && t.factor(now) == 1 {
+	if t.slow >= slowLeast && now.Sub(t.learned) > slowKept {
 		t.learned, t.tried = now, true
 	}
 }
 
-// factor returns by how much a replica is slower than expected, 1 if it is not.
-func (t *tally) factor(now time.Time) float64 {
+// factor returns by how much a replica is slower than the others of its share, 1 if it is not. Under load first events
+// come late everywhere, which is no reason to prefer one replica to another.
+func (l *ledger) factor(now time.Time, t *tally) float64 {
 	if t.slow < slowLeast || now.Sub(t.learned) > slowKept {
 		return 1
 	}
-	return t.slow
+	var all []float64
+	for _, other := range l.heads {
+		if other.slow > 0 {
+			all = append(all, other.slow)
+		}
+	}
+	slices.Sort(all)
+	if factor := t.slow / max(all[(len(all)-1)/2], 1); factor >= slowLeast {
+		return factor
+	}
+	return 1
+}
+
+// places returns how many calls a replica may have: its slots, or fewer if it is slower than others, since each call more
+// makes all of its calls wait longer.
+func (l *ledger) places(now time.Time, t *tally, target Target) int {
+	return max(int(float64(target.slots)/l.factor(now, t)), 1)
 }
