dispatch: Leave a stream at its broken replica unless it may go on elsewhere

A replica had lost a member; both calls were taken away, though nothing was left of the retry budget or of their attempts, and then ended. Red before: TestBreakWithoutWayOut (three of four parts). Change: a call is taken away only if it may be sent again, and the send is taken from the budget at that moment; a silent stream is looked at again at each pause, so that it moves when the budget allows it. Ruled out: the configuration that changed then; no route or key of the calls changed (idle).

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -78,6 +78,7 @@
 	tried   []string
 	started bool   // the caller has the beginning of an answer
 	last    string // id of the last event that the caller has
+	paid    bool   // the next send has been taken from the budget
 	queued  time.Time
 	denied  []Share // where it was told that no place becomes free in time
 	halted  verdict // what to answer once the attempt has ended, nil while it may go on
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // maxSends bounds how often one request is sent, whatever was not run.
@@ -126,9 +124,10 @@
 		s.giveUp(now, c, Poison, 0)
 	case c.runs > 0 && !c.route.Repeatable(), c.runs >= c.route.Attempts(), c.sends >= maxSends:
 		s.giveUp(now, c, Exhausted, s.again(now, up, c))
-	case !s.budget(c.service).repeat(now, s.settings.retries, s.sharers):
+	case !c.paid && !s.budget(c.service).repeat(now, s.settings.retries, s.sharers):
 		s.giveUp(now, c, BudgetSpent, s.again(now, up, c))
 	default:
+		c.paid = false
 		s.place(now, up, c)
 	}
 }
@@ -202,16 +201,26 @@
 	}
 }
 
-// breakOff ends the attempts at a replica that lost a member, so that resumable streams go on elsewhere.
+// breakOff ends the attempts at a replica that lost a member that may go on elsewhere; the others stay, since it may go on
+// itself.
 func (s *State) breakOff(now time.Time, head string) {
 	own := s.upstream(head)
 	own.avoid = now.Add(deadPause)
 	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
 		a := s.attempts[id]
-		if a.own != own || a.cut || a.call.route.Kind() == route.Once {
-			continue
+		if a.own == own {
+			s.takeAway(now, a)
 		}
-		a.cut = true
-		s.emit(Cancel{a.id})
 	}
 }
+
+// takeAway ends an attempt that may go on elsewhere, and takes the new send from the budget.
+func (s *State) takeAway(now time.Time, a *attempt) {
+	c := a.call
+	isAllowed := c.route.Repeatable() && c.runs+1 < c.route.Attempts() && c.sends < maxSends
+	if a.cut || !isAllowed || !s.budget(c.service).repeat(now, s.settings.retries, s.sharers) {
+		return
+	}
+	a.cut, c.paid = true, true
+	s.emit(Cancel{a.id})
+}
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -181,3 +181,58 @@
 		So(r.state.Asking()+r.state.Lines()+r.state.Waiting(), ShouldEqual, 0)
 	})
 }
+
+func TestBreakWithoutWayOut(t *testing.T) {
+	Convey("A stream at a replica that broke", t, func() {
+		r := newReplay(3, 1)
+		r.arrive(1, "large", "/draft/x")
+		r.run(200 * time.Millisecond)
+		first := r.only()
+
+		Convey("stays there if the retry budget is spent", func() {
+			r.feed(NewLimited(NewRetries(0, 0, 10*time.Second)))
+			So(cancels(r.state.Reduce(r.now, r, NewBroke(first.Upstream()))), ShouldEqual, 0)
+			So(cancels(r.state.Reduce(r.now, r, NewSilenced(first.Attempt(), silenceMost))), ShouldEqual, 0)
+		})
+
+		Convey("is taken away once the budget allows it again, if it is still silent", func() {
+			r.feed(NewLimited(NewRetries(0, 0, 10*time.Second)))
+			r.feed(NewBroke(first.Upstream()))
+			r.feed(NewLimited(NewRetries(0.2, 100, 10*time.Second)))
+			So(cancels(r.state.Reduce(r.now, r, NewSilenced(first.Attempt(), silenceMost))), ShouldEqual, 1)
+		})
+
+		Convey("stays at the second one, since its attempts are used up", func() {
+			r.feed(NewFailed(first.Attempt(), Interrupted).WithProgress("7"))
+			delete(r.begun, first.Attempt())
+			second := r.only()
+			So(cancels(r.state.Reduce(r.now, r, NewBroke(second.Upstream()))), ShouldEqual, 0)
+		})
+
+		Convey("costs the budget one send when it goes on elsewhere", func() {
+			before := r.state.RepeatsLeft(r.now, "engines")
+			r.feed(NewBroke(first.Upstream()))
+			r.feed(NewFailed(first.Attempt(), Halted).WithProgress("7"))
+			So(r.sends[1], ShouldEqual, 2)
+			So(r.state.RepeatsLeft(r.now, "engines"), ShouldEqual, before-1)
+		})
+	})
+}
+
+// only returns the one attempt that runs.
+func (r *replay) only() Send {
+	for _, send := range r.begun {
+		return send
+	}
+	panic("nothing runs")
+}
+
+func cancels(effects []Effect) int {
+	count := 0
+	for _, effect := range effects {
+		if _, isCancel := effect.(Cancel); isCancel {
+			count++
+		}
+	}
+	return count
+}
--- a/pkg/dispatch/standstill.go
+++ b/pkg/dispatch/standstill.go
@@ -27,7 +27,7 @@
 const silenceMost = 4
 
 // silence suspects the upstream of a stream that fell silent, and takes the stream away if it stays so.
-func (s *State) silence(e Silenced) {
+func (s *State) silence(now time.Time, e Silenced) {
 	a := s.attempts[e.attempt]
 	if a == nil {
 		return
@@ -35,8 +35,7 @@
 	if e.pauses == 1 {
 		s.emit(Suspect{a.target(), "a stream fell silent"})
 	}
-	if e.pauses >= silenceMost && a.call.route.Repeatable() && !a.cut && a.call.runs+1 < a.call.route.Attempts() {
-		a.cut = true
-		s.emit(Cancel{a.id})
+	if e.pauses >= silenceMost {
+		s.takeAway(now, a)
 	}
 }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -89,7 +89,7 @@
 	case Flowed:
 		s.flow(now, e.attempt)
 	case Silenced:
-		s.silence(e)
+		s.silence(now, e)
 	case Ended:
 		s.end(now, up, e.attempt)
 	case Failed:
