--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -220,10 +220,17 @@
 	case !one.last:
 		s.askFor(now, up, c)
 	default:
-		s.giveUp(now, c, Overload, s.again(now, up, c))
+		s.giveUp(now, c, Overload, s.againLater(now, c))
 	}
 }
 
+// againLater returns when a caller should come back whose call found no place in any line: as late as callers heed, since
+// all places have gone to others for a while, and spread so that they don't return together.
+func (s *State) againLater(now time.Time, c *call) time.Duration {
+	most := againOfWay * float64(c.ends.Sub(now))
+	return time.Duration(most * (1 + s.random.Float64()) / 2)
+}
+
 // checkAsks goes on with the calls whose question was not answered in time, or waits with a daemon that does not keep the
 // count any more.
 func (s *State) checkAsks(now time.Time, up Upstreams) {
@@ -239,7 +246,7 @@
 		case isMoved:
 			s.askFor(now, up, c)
 		case one.waits:
-			s.giveUp(now, c, Overload, s.again(now, up, c))
+			s.giveUp(now, c, Overload, s.againLater(now, c))
 		default:
 			s.mute[one.owner] = now.Add(askMute)
 			s.placeUnasked(now, up, c)
--- a/pkg/dispatch/grant_test.go
+++ b/pkg/dispatch/grant_test.go
@@ -126,3 +126,23 @@
 		So(after, ShouldBeGreaterThan, before+0.4)
 	})
 }
+
+func TestReturn(t *testing.T) {
+	Convey("Callers that found no place come back at different times, and not while the others still wait", t, func() {
+		w := newCrowd(8, 2, false)
+		w.arrivals(2*capacity, 6*time.Second, 1)
+		w.run(10 * time.Second)
+		soon, times := 0, map[time.Duration]int{}
+		for _, c := range w.calls {
+			if !c.refused {
+				continue
+			}
+			times[c.again.Truncate(50*time.Millisecond)]++
+			if c.again < 500*time.Millisecond {
+				soon++
+			}
+		}
+		So(len(times), ShouldBeGreaterThan, 10)
+		So(soon, ShouldEqual, 0)
+	})
+}
