--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -48,10 +48,7 @@
 		r := newReplay(2, 1)
 		r.arrive(1, "large", "/draft/x")
 		r.run(200 * time.Millisecond)
-		var first Send
-		for _, send := range r.begun {
-			first = send
-		}
+		first := r.only()
 		r.feed(NewBroke(first.Upstream()))
 		r.feed(NewFailed(first.Attempt(), Halted).WithProgress("7"))
 		r.run(10 * time.Millisecond)
@@ -70,10 +67,7 @@
 		r := newReplay(2, 1)
 		r.arrive(1, "large", "/draft/x")
 		r.run(200 * time.Millisecond)
-		var first Send
-		for _, send := range r.begun {
-			first = send
-		}
+		first := r.only()
 		r.lose = func(Send) Failure { return Errored }
 		r.feed(NewFailed(first.Attempt(), Interrupted).WithProgress("7"))
 		r.run(time.Second)
@@ -96,10 +90,7 @@
 		r := newReplay(2, 1)
 		r.arrive(1, "large", "/draft/x")
 		r.run(200 * time.Millisecond)
-		var first Send
-		for _, send := range r.begun {
-			first = send
-		}
+		first := r.only()
 		r.later = nil // no more events
 		waited, pauses := time.Duration(0), 0
 		for r.sends[1] < 2 && waited < 2*time.Second {
