dispatch: Take in that calls ended at a replica that is not listed

Cause: the daemon that keeps count ignored what it was told of a replica that was not listed at that moment. A replica that broke and was formed again at the same head within ten seconds came back full of calls that had ended, so that its places stayed empty and callers were refused. Red before: TestReformedReplica.

--- a/pkg/dispatch/grant_test.go
+++ b/pkg/dispatch/grant_test.go
@@ -146,3 +146,21 @@
 		So(soon, ShouldEqual, 0)
 	})
 }
+
+func TestReformedReplica(t *testing.T) {
+	Convey("Calls that end while their replica is not listed hold no place there when it is listed again", t, func() {
+		w := newCrowd(8, 1, false)
+		for range worldSlots {
+			w.arrive(7, worldLimit)
+		}
+		w.run(100 * time.Millisecond)
+		listed := w.targets
+		w.targets = nil
+		w.run(worldTime + 100*time.Millisecond)
+		w.targets = listed
+		w.arrive(7, worldLimit)
+		last := w.calls[len(w.calls)-1]
+		w.run(worldGoal)
+		So(last.first, ShouldBeBetween, time.Duration(0), worldGoal)
+	})
+}
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -263,7 +263,7 @@
 func (s *State) claimed(now time.Time, up Upstreams, e Claimed) {
 	freed := map[Share]int{}
 	for _, name := range slices.Sorted(maps.Keys(e.held)) {
-		share, isKnown := s.shareOfHead(up, name)
+		share, isKnown := s.shareOfCount(up, name)
 		if !isKnown {
 			continue
 		}
@@ -294,6 +294,17 @@
 	return Share{}, false
 }
 
+// shareOfCount returns the share of a replica that is listed, or that was when calls were counted: calls that end meanwhile
+// must not hold its places when it is formed again.
+func (s *State) shareOfCount(up Upstreams, head string) (Share, bool) {
+	for share, l := range s.ledgers {
+		if l.heads[head] != nil {
+			return share, true
+		}
+	}
+	return s.shareOfHead(up, head)
+}
+
 // serveLines serves the calls that wait here for places of which no daemon tells: a replica came, or claims lapsed.
 func (s *State) serveLines(now time.Time, up Upstreams) {
 	waiting := map[Share]int{}
