upstream: Count only delivered tokens of a stream that broke off

Cause: readChunk counted the token of a chunk that it holds back because the chunk also has the finish reason. A stream cut right after it reported one token more than the caller had, so a resumed stream skipped that token. Change: the position of received tokens and the number of delivered ones are separate; the result has the latter. Test: the stand-in cuts a stream after such a chunk (failed before: 6 tokens instead of 5), and the resume is complete.

--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -33,6 +33,7 @@
 	faultAborted
 	faultMismatched
 	faultDuplicated
+	faultAbortedAtFinish
 	faultBlocked
 	faultCrash
 )
@@ -57,6 +58,12 @@
 	e.queueFault(completionFault{kind: faultDuplicated, afterTokens: tokens})
 }
 
+// NextAbortedAtFinish sends the last token of the next stream in one chunk with the finish reason, and then closes the
+// connection.
+func (e *Engine) NextAbortedAtFinish() {
+	e.queueFault(completionFault{kind: faultAbortedAtFinish})
+}
+
 // NextBlocked blocks the next completion at gate after tokens.
 func (e *Engine) NextBlocked(tokens int, gate *Gate) {
 	e.queueFault(completionFault{kind: faultBlocked, afterTokens: tokens, gate: gate})
@@ -242,8 +249,15 @@
 				repeats = 2
 			}
 		}
+		chunk := c.chunk(id, tokenText(c.prompt, position))
+		if position == c.tokens && c.fault != nil && c.fault.kind == faultAbortedAtFinish {
+			reason := "stop"
+			chunk.Choices[0].FinishReason = &reason
+			writeChunk(w, position, chunk)
+			panic(http.ErrAbortHandler)
+		}
 		for range repeats {
-			writeChunk(w, position, c.chunk(id, tokenText(c.prompt, position)))
+			writeChunk(w, position, chunk)
 		}
 	}
 	writeChunk(w, 0, c.finishChunk(id))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -88,7 +88,7 @@
 func (c *Client) callControl(ctx context.Context, method, address, path string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	request, err := transport.NewRequest(ctx, method, "http://"+address+path, body)
+	request, err := transport.NewRepeatableRequest(ctx, method, "http://"+address+path, body)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/upstream/completion.go
+++ b/internal/upstream/completion.go
@@ -89,8 +89,8 @@
 // Failure returns why the answer is incomplete.
 func (r CompletionResult) Failure() engine.Failure { return r.failure }
 
-// Tokens returns the number of tokens received in order, including those from before the attempt. It counts a token in
-// a chunk with the finish reason, although such a chunk is only delivered once the answer is complete.
+// Tokens returns the number of tokens that were delivered in order, including those from before the attempt. A stream
+// that broke off is resumed after them.
 func (r CompletionResult) Tokens() int { return r.tokens }
 
 // Model returns the model name in the answer.
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -88,21 +88,21 @@
 
 // Forward sends a call to a plain service and reads the complete answer. A call that is not idempotent is sent at most
 // once and over a new connection. The server might close a reused one while the call is sent, and the outcome would be
-// unknown. Of the idempotent calls, net/http may send a GET or HEAD without a body again.
+// unknown. An idempotent GET or HEAD without a body may be sent again by net/http.
 func (c *Client) Forward(ctx context.Context, r Request) Reply {
 	if !r.notAfter.IsZero() && time.Now().After(r.notAfter) {
 		return Reply{delivery: NotSent}
 	}
-	request, err := transport.NewRequest(ctx, r.method, "http://"+r.address+r.pathAndQuery, r.body)
+	newRequest, roundTripper := transport.NewRequest, c.unpooled
+	if r.idempotent {
+		newRequest, roundTripper = transport.NewRepeatableRequest, c.pooled
+	}
+	request, err := newRequest(ctx, r.method, "http://"+r.address+r.pathAndQuery, r.body)
 	if err != nil {
 		return Reply{delivery: NotSent}
 	}
 	copyHeaders(request.Header, r.header, forwardedRequestHeaders)
 	request.Header.Set(requestIDHeader, r.id)
-	roundTripper := c.unpooled
-	if r.idempotent {
-		roundTripper = c.pooled
-	}
 	response, sent, err := transport.Send(roundTripper, request)
 	if err != nil && !sent {
 		return Reply{delivery: NotSent}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -45,9 +45,10 @@
 		return CompletionResult{failure: engine.IdentityMismatch, tokens: completion.tokenOffset}
 	}
 	s := streamReader{
-		id:      answerIDPrefix + completion.id,
-		deliver: deliver,
-		result:  CompletionResult{tokens: completion.tokenOffset},
+		id:       answerIDPrefix + completion.id,
+		deliver:  deliver,
+		received: completion.tokenOffset,
+		result:   CompletionResult{tokens: completion.tokenOffset},
 	}
 	err := s.read(newEventReader(response.Body), watchdog)
 	s.result.complete = err == nil
@@ -134,6 +135,7 @@
 	id           string
 	deliver      func(Chunk) error
 	result       CompletionResult
+	received     int // position of the last token received; result counts the delivered ones
 	finalChunks  []Chunk
 	countChecked bool
 }
@@ -194,14 +196,14 @@
 		chunk.text, finishReason = wire.Choices[0].Delta.Content, wire.Choices[0].FinishReason
 	}
 	if event.id != "" {
-		if len(s.finalChunks) > 0 || event.id != strconv.Itoa(s.result.tokens+1) {
+		if len(s.finalChunks) > 0 || event.id != strconv.Itoa(s.received+1) {
 			return errPosition
 		}
-		s.result.tokens++
+		s.received++
 	} else if chunk.text != "" {
 		return errPosition
 	}
-	chunk.position = s.result.tokens
+	chunk.position = s.received
 	s.result.model = wire.Model
 	if finishReason != "" {
 		s.result.finishReason = finishReason
@@ -225,7 +227,7 @@
 	if json.Unmarshal(usage, &reported) != nil {
 		return errMalformedChunk
 	}
-	if reported.CompletionTokens != s.result.tokens {
+	if reported.CompletionTokens != s.received {
 		return errTokenCount
 	}
 	chunk.hasUsage, s.countChecked, s.result.usage = true, true, usage
@@ -249,5 +251,6 @@
 	if s.deliver(chunk) != nil {
 		return errDeliver
 	}
+	s.result.tokens = chunk.position
 	return nil
 }
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -52,6 +52,17 @@
 			}
 		})
 
+		Convey("A stream cut after a held back chunk counts delivered tokens only, and the resumed stream has no gap", func() {
+			h.lead.NextAbortedAtFinish()
+			got := h.stream(ctx, "q1", 0)
+			So(got.result.Failure(), ShouldEqual, engine.Crashed)
+			So(len(got.chunks), ShouldEqual, 5)
+			So(got.result.Tokens(), ShouldEqual, 5)
+			rest := h.stream(ctx, "q2", got.result.Tokens())
+			So(rest.result.Complete(), ShouldBeTrue)
+			So(got.text+rest.text, ShouldEqual, complete.text)
+		})
+
 		Convey("A crash during the stream and a replica with a crashed member are different failures", func() {
 			h.lead.NextCrash(3)
 			got := h.stream(ctx, "q1", 0)
