transport: Send a GET or HEAD once unless it is marked repeatable

Cause: net/http sends a GET or HEAD without a body again when a kept connection dies, whatever the caller of the transport promised. Test: the second request on a connection that the server closes arrives once (failed before: 3 arrivals instead of 2).

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -77,7 +77,7 @@
 }
 
 func (c *Client) newRequest(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
-	request, err := transport.NewRequest(ctx, method, c.base+path, body)
+	request, err := transport.NewRepeatableRequest(ctx, method, c.base+path, body)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -45,21 +45,28 @@
 	return transport
 }
 
-// NewRequest returns a request that net/http does not send again by itself, even if it has an Idempotency-Key header.
-// Its body, which may be empty, cannot be rewound. Only a GET or HEAD without a body may be sent again.
+// NewRequest returns a request that net/http does not send again by itself, whatever its method and headers are. Its
+// body, which may be empty, cannot be rewound.
 func NewRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return nil, err
 	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	request.ContentLength = int64(len(body))
+	return request, nil
+}
+
+// NewRepeatableRequest returns a request that net/http sends again over a new connection if it is a GET or HEAD without
+// a body and the server closed a reused connection.
+func NewRepeatableRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
 	if len(body) > 0 || !bodyless(method) {
-		request.Body = io.NopCloser(bytes.NewReader(body))
-		request.ContentLength = int64(len(body))
+		return NewRequest(ctx, method, url, body)
 	}
-	return request, nil
+	return http.NewRequestWithContext(ctx, method, url, nil)
 }
 
-// bodyless reports whether requests of method usually have no body. Only these may be sent twice by net/http.
+// bodyless reports whether requests of method usually have no body.
 func bodyless(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -69,6 +69,31 @@
 		})
 	}
 
+	for _, method := range []string{http.MethodGet, http.MethodHead} {
+		Convey("A "+method+" without a body is sent once, even if the server closes the connection", t, func() {
+			url, requests := closingServer(t)
+			roundTripper := New()
+			for range 2 {
+				request, err := NewRequest(context.Background(), method, url, nil)
+				So(err, ShouldBeNil)
+				_, _ = post(roundTripper, request)
+			}
+			So(requests.Load(), ShouldEqual, 2)
+		})
+
+		Convey("A repeatable "+method+" is sent again over a new connection", t, func() {
+			url, requests := closingServer(t)
+			roundTripper := New()
+			for range 2 {
+				request, err := NewRepeatableRequest(context.Background(), method, url, nil)
+				So(err, ShouldBeNil)
+				_, err = post(roundTripper, request)
+				So(err, ShouldBeNil)
+			}
+			So(requests.Load(), ShouldEqual, 3)
+		})
+	}
+
 	Convey("The same request made by net/http alone is sent twice, so the other tests can fail", t, func() {
 		url, requests := closingServer(t)
 		roundTripper := New()
