gateway: Forward answers above the buffer limit completely

Cause: bufferAnswer cut an answer at 16 MiB without an error. Change: the rest is forwarded as it arrives; a connection that fails on the way is aborted, and pkg/dispatch never sends a call again of which the caller has a part and that is not a stream. An error answer above the limit fails the attempt with size and limit in the log. A rejection above the limit no longer leaves unread bytes on a connection that is kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -10,9 +13,11 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// maxAnswerBytes limits an answer that is buffered before it is forwarded.
+// maxAnswerBytes limits the part of an answer that is buffered before its head is forwarded.
 const maxAnswerBytes = 16 << 20
 
+var errAnswerTooLarge = errors.New("error answer exceeds the size limit")
+
 // bufferedAnswer is an answer that was read completely.
 type bufferedAnswer struct {
 	status int
@@ -105,7 +110,7 @@
 
 // reportRejection discards the body of an answer and reports why the attempt failed.
 func (e *exchange) reportRejection(send dispatch.Send, answer *transport.Exchange, class Classification) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Response.Body, maxAnswerBytes)); err != nil {
+	if _, isWhole, err := readUpTo(answer.Response.Body, maxAnswerBytes); err != nil || !isWhole {
 		answer.Abort()
 	} else {
 		answer.Close()
@@ -117,38 +122,72 @@
 func (e *exchange) bufferError(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
-	if !e.bufferAnswer(ctx, send, answer) {
+	body, isWhole, err := readUpTo(answer.Response.Body, maxAnswerBytes)
+	if err == nil && !isWhole {
+		err = fmt.Errorf("%w: content length %d, limit %d bytes", errAnswerTooLarge, answer.Response.ContentLength, maxAnswerBytes)
+	}
+	if err != nil {
+		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
+	e.keepAnswer(answer, body)
 	e.daemon.enqueueDispatch(dispatch.NewFailed(send.Attempt(), dispatch.Errored).WithFault(class.FaultyUpstream, class.Load))
 	return false
 }
 
-// forwardBuffered forwards an answer after it was read completely.
+// forwardBuffered forwards an answer after it was read completely. Of an answer above maxAnswerBytes, the rest is
+// forwarded as it arrives.
 func (e *exchange) forwardBuffered(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
-	if !e.bufferAnswer(ctx, send, answer) {
+	body, isWhole, err := readUpTo(answer.Response.Body, maxAnswerBytes)
+	if err != nil {
+		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
+	if !isWhole {
+		return e.forwardLarge(ctx, send, answer, body, class)
+	}
+	e.keepAnswer(answer, body)
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
 	e.buffered.writeTo(e.writer)
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
 
-// bufferAnswer reads an answer completely; if that fails, it reports the attempt as failed.
-func (e *exchange) bufferAnswer(ctx context.Context, send dispatch.Send, answer *transport.Exchange) bool {
-	body, err := io.ReadAll(io.LimitReader(answer.Response.Body, maxAnswerBytes))
-	if err != nil {
-		answer.Abort()
-		e.daemon.log.Info("upstream", "answer truncated", "id", e.name, "upstream", send.Upstream(), "err", err.Error())
-		e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Interrupted))
+// forwardLarge forwards the first part of an answer and then the rest. If the rest cannot be read, the caller's
+// connection is aborted, so that the answer does not look complete.
+func (e *exchange) forwardLarge(
+	ctx context.Context, send dispatch.Send, answer *transport.Exchange, first []byte, class Classification,
+) bool {
+	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
+	e.writeHead(answer.Response)
+	if _, err := io.Copy(e.writer, io.MultiReader(bytes.NewReader(first), answer.Response.Body)); err != nil {
+		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
+	answer.Close()
+	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
+	return true
+}
+
+// readUpTo reads a body until its end or until limit bytes are exceeded, and reports whether it was read completely.
+func readUpTo(body io.Reader, limit int64) (data []byte, isWhole bool, err error) {
+	data, err = io.ReadAll(io.LimitReader(body, limit+1))
+	return data, int64(len(data)) <= limit, err
+}
+
+// reportTruncated reports an attempt whose answer could not be read or forwarded completely.
+func (e *exchange) reportTruncated(ctx context.Context, send dispatch.Send, answer *transport.Exchange, err error) {
+	answer.Abort()
+	e.daemon.log.Info("upstream", "answer truncated", "id", e.name, "upstream", send.Upstream(), "err", err.Error())
+	e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Interrupted))
+}
+
+// keepAnswer keeps an answer whose body was read completely, and ends the exchange.
+func (e *exchange) keepAnswer(answer *transport.Exchange, body []byte) {
 	header := answer.Response.Header.Clone()
 	e.daemon.adapter.Headers.RemoveHopHeaders(header)
 	e.buffered = &bufferedAnswer{answer.Response.StatusCode, header, body}
 	answer.Close()
-	return true
 }
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // maxSends is the maximum number of sends of one request, including those that did not run.
@@ -17,7 +19,6 @@
 	a.isStarted = true
 	a.call.hasPartialAnswer = true
 	a.upstream.recordLoad(now, e.load)
-	a.upstream.failures = 0
 }
 
 // handleFirstEvent records that the prefill of an attempt has ended.
@@ -103,11 +104,9 @@
 	}
 	switch e.failure {
 	case NotSent:
-		a.upstream.failures++
 		a.upstream.avoidUntil = now.Add(failureBackoff)
 		s.emit(Suspect{a.target(), "no connection"})
 	case Interrupted:
-		a.upstream.failures++
 		s.emit(Suspect{a.target(), "connection reset"})
 		s.reportCrash(a.call, a.target())
 	case Misdirected:
@@ -123,6 +122,8 @@
 	switch {
 	case s.isPoison(now, c, crashesToStopRetry):
 		s.giveUp(now, c, Poison, 0)
+	case c.hasPartialAnswer && c.route.Kind() != route.Stream: // only the events of a stream can be continued
+		s.giveUp(now, c, AttemptsExhausted, 0)
 	case c.runs > 0 && !c.route.Retryable(), c.runs >= c.route.MaxAttempts(), c.sends >= maxSends:
 		s.giveUp(now, c, AttemptsExhausted, s.retryAfter(now, up, c))
 	case !c.isRetryCounted && !s.budget(c.service).takeRetry(now, s.settings.retries, s.budgetPeers):
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -85,6 +85,20 @@
 	})
 }
 
+func TestFailureWithinBufferedAnswer(t *testing.T) {
+	Convey("A read of which the caller has received a part is not sent again, since a second answer cannot continue it", t, func() {
+		sim := newSimulation(5, 1)
+		sim.arrive(1, "large", "/read/x")
+		sim.run(10 * time.Millisecond)
+		first := sim.onlyAttempt()
+		sim.feed(NewStarted(first.Attempt(), Load{}))
+		sim.feed(NewFailed(first.Attempt(), Interrupted).WithProgress(""))
+		sim.run(time.Second)
+		So(sim.sends[1], ShouldEqual, 1)
+		So(sim.failed, ShouldContainKey, ID(1))
+	})
+}
+
 func TestStalledStream(t *testing.T) {
 	Convey("A stalled stream of a replica that seems alive resumes elsewhere within two seconds", t, func() {
 		sim := newSimulation(2, 1)
