commands, metrics, gateway: Mend help, catalog and log keys

Catalog() has all metrics that are declared, and a test compares them. The log line of a call sent to a granted slot has the number of candidates under upstreams. The unread counter of failures is gone, and the start of a daemon that has left is forgotten.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/alexflint/go-arg"
 )
@@ -21,6 +22,9 @@
 	exitDifferent  = 7
 )
 
+// helpCommand prints the help text of the command that follows it, or of the program.
+const helpCommand = "help"
+
 // program is the name of the program in help texts.
 const program = "azurepond"
 
@@ -74,6 +78,12 @@
 		_, _ = fmt.Fprintln(errOut, "azurepond:", err)
 		return exitError
 	}
+	if len(arguments) > 0 && arguments[0] == helpCommand {
+		if len(arguments) > 1 && !slices.Contains(commandNames(), arguments[1]) {
+			return reportUsageError(parser, errOut, fmt.Errorf("invalid subcommand: %s", arguments[1]))
+		}
+		arguments = append(slices.Clone(arguments[1:]), "--help")
+	}
 	err = parser.Parse(arguments)
 	if errors.Is(err, arg.ErrHelp) {
 		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
--- a/internal/gateway/trace_test.go
+++ b/internal/gateway/trace_test.go
@@ -158,6 +158,16 @@
 		})
 	})
 
+	Convey("The log line of a request that is sent to a granted slot has the number of candidates and the calls", t, func() {
+		s := newLogSession("h1", "h2", "h3")
+		s.captureLog(t)
+		s.request(1, "granted", "/draft/x")
+		lines := s.linesOf("granted")
+		So(lines[0].message(), ShouldEqual, "sent")
+		So(lines[0].value("upstreams"), ShouldEqual, "3")
+		So(lines[0].value("calls"), ShouldEqual, "1") // the request itself
+	})
+
 	Convey("The log lines of a request with an unknown outcome show the upstream that may have run it", t, func() {
 		s := newLogSession("d1")
 		s.captureLog(t)
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -119,6 +119,7 @@
 	return append([]Metric{
 		Calls, FailedCalls, CallsInFlight, FirstTokenTime, AnswerTime, Retries, Downtime, StrandedTime,
 		WantedReplicas, AvailableReplicas, ConfigRevision, StoreRequests, Members,
-		Requests, RequestTime, FirstSendTime, Orders, Probes, UpstreamConnections, DroppedLogLines, Leading,
+		Requests, RequestTime, FirstSendTime, Orders, Probes, UpstreamConnections,
+		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, DroppedLogLines, Leading,
 	}, linkMetrics...)
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"os"
 	"strings"
 	"testing"
@@ -65,7 +68,44 @@
 	})
 }
 
+// declaredMetrics returns the names of the variables that hold a Metric.
+func declaredMetrics(t *testing.T, files ...string) []string {
+	var names []string
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, object := range parsed.Scope.Objects {
+			spec, isValue := object.Decl.(*ast.ValueSpec)
+			if !isValue || len(spec.Values) != 1 {
+				continue
+			}
+			literal, isLiteral := spec.Values[0].(*ast.CompositeLit)
+			if !isLiteral {
+				continue
+			}
+			if kind, isName := literal.Type.(*ast.Ident); isName && kind.Name == "Metric" {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
 func TestCatalog(t *testing.T) {
+	Convey("The catalog contains every metric that is declared", t, func() {
+		linkMetrics := 0
+		for _, m := range metrics.Catalog() {
+			if strings.HasPrefix(m.Name(), "azurepond_link_") {
+				linkMetrics++
+			}
+		}
+		declared := declaredMetrics(t, "catalog.go", "gateway.go")
+		So(len(declared), ShouldBeGreaterThan, 0)
+		So(len(metrics.Catalog())-linkMetrics, ShouldEqual, len(declared))
+	})
+
 	Convey("The operators' documentation lists every metric of the catalog with its labels, unit and help text", t, func() {
 		page, err := os.ReadFile("../../docs/operators/metrics.md")
 		So(err, ShouldBeNil)
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -203,15 +203,16 @@
 // sendToSlot sends a call to its granted slot, and reports whether the upstream is still available.
 func (s *State) sendToSlot(now time.Time, up Upstreams, c *call, e SlotReply) bool {
 	u := s.upstream(e.upstream)
-	i := slices.IndexFunc(s.targets(up, c), func(t Target) bool { return t.name == e.upstream })
+	targets := s.targets(up, c)
+	i := slices.IndexFunc(targets, func(t Target) bool { return t.name == e.upstream })
 	if i < 0 || now.Before(u.avoidUntil) {
 		return false
 	}
-	t := s.targets(up, c)[i]
+	t := targets[i]
 	u.recordLoad(now, NewLoad(e.calls-1, 0, t.slots)) // send counts the call itself
 	chosen := candidate{target: t, upstream: u, calls: float64(e.calls)}
 	chosen.cost = s.firstEventTime(c, chosen)
-	s.send(now, c, chosen, e.calls)
+	s.send(now, c, chosen, len(targets))
 	return true
 }
 
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -68,7 +68,6 @@
 	endedSince           int       // requests of this daemon ended since the report
 	avoidUntil           time.Time // gets no new requests before
 	lastUsed             time.Time
-	failures             int
 	slowdown             float64 // of the latest first event, as in ReplicaUsage, 0 once reported
 }
 
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -249,6 +249,7 @@
 	for name, seenAt := range m.budgetPeerSeenAt {
 		if now.Sub(seenAt) > budgetPeerTTL {
 			delete(m.budgetPeerSeenAt, name)
+			delete(m.starts, name)
 		}
 	}
 	if len(m.budgetPeerSeenAt) != m.budgetPeers {
