replica: Combine the leader's work, and form replicas as engines arrive

Cause: each event of the leader planned the whole record anew, and each step of a plan visited all engines for each fabric domain. Change: orders and plan are considered at most every 25 ms, the plan every 250 ms unless an instance is lost; a plan indexes engines by domain. While engines are being listed, the model under the highest pressure gets replicas. Nothing is staged before the replicas of a first start are open. Probes begin once an effect is overdue, and back off.

--- a/pkg/replica/demand.go
+++ b/pkg/replica/demand.go
@@ -124,7 +124,7 @@
 
 // convert dissolves replicas of models under low pressure and forms one of the model under the highest pressure.
 func (d *draft) convert() {
-	if d.demand == nil || d.now.Sub(d.lastConversion) < conversionInterval || d.isForming() {
+	if d.demand == nil || d.now.Sub(d.lastConversion) < conversionInterval || d.isForming(d.next.groups) {
 		return
 	}
 	model := d.byPressure()[0]
@@ -141,10 +141,10 @@
 	}
 }
 
-// isForming reports whether a recorded replica is not open yet.
-func (d *draft) isForming() bool {
-	for _, g := range d.next.groups {
-		head := d.nodes[g.members[0].id]
+// isForming reports whether one of the replicas is not open yet.
+func (s *State) isForming(groups []group) bool {
+	for _, g := range groups {
+		head := s.nodes[g.members[0].id]
 		if head == nil || !head.membership.isIn(g.name, g.epoch) || head.membership.phase != PhaseOpen {
 			return true
 		}
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -7,8 +7,11 @@
 	"github.com/azurepond/azurepond/pkg/object"
 )
 
-// planInterval is the time between two plans without an event, as settleTime or conversionInterval may have passed.
-const planInterval = 250 * time.Millisecond // an eighth of the time that a repair takes
+// The intervals of the leader's work, which combine the events of many instances.
+const (
+	reconcileInterval = 25 * time.Millisecond  // hundreds of orders are answered within a second
+	planInterval      = 250 * time.Millisecond // between plans, unless an instance is lost; an eighth of a repair
+)
 
 // setLeading starts or stops the formation of replicas by this daemon.
 func (s *State) setLeading(now time.Time, leading bool) {
@@ -34,12 +37,13 @@
 	if !s.leading || len(s.engine.Models()) == 0 {
 		return
 	}
-	if s.recordRead && s.writer.Synced() {
+	if s.recordRead && s.writer.Synced() && now.Sub(s.lastReconcile) >= reconcileInterval {
+		s.lastReconcile = now
 		if s.takeoverRecorded {
 			s.sendOrders(now)
 		}
-		if now.Sub(s.lastPlan) >= planInterval {
-			s.lastPlan = now
+		if s.isPlanUrgent || now.Sub(s.lastPlan) >= planInterval {
+			s.lastPlan, s.isPlanUrgent = now, false
 			s.writePlan(now)
 		}
 		s.emitCounts(now)
@@ -94,6 +98,7 @@
 	s.logChanges(r)
 	s.noteRemovals(r)
 	s.record, s.recordRead, s.takeoverRecorded = r, true, own
+	s.lastReconcile = time.Time{}
 }
 
 // logChanges logs which replicas a record forms and removes.
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -6,6 +6,7 @@
 const (
 	orderRetryInterval = 300 * time.Millisecond // an order takes a round trip of a few ms; a lost one is sent again
 	orderProbeInterval = 250 * time.Millisecond // an instance reports a change at once; the list lags if it takes longer
+	orderProbeBackoff  = 0.5                    // of the time that the effect is overdue
 	orderEffectSlack   = 2 * time.Second        // on top of the load time, for loads that share the weight store
 )
 
@@ -23,7 +24,8 @@
 	awaitingReply bool
 	isLoad        bool // a join that loads from the weight store
 	reply         Reply
-	effectDue     time.Time // when the effect should be visible
+	expectedAt    time.Time // when the effect should be visible
+	effectDue     time.Time // when the order is sent again if the effect is not visible
 	lastProbe     time.Time
 }
 
@@ -34,7 +36,7 @@
 	}
 	s.closeUnrecorded(now)
 	if now.Sub(s.lastArrival) < settleTime || s.callsSeen && now.Sub(s.leadingSince) < stagingDelay ||
-		now.Sub(s.lastStaging) < planInterval {
+		now.Sub(s.lastStaging) < planInterval || s.isBootstrapping() {
 		return
 	}
 	s.lastStaging = now
@@ -42,6 +44,12 @@
 	s.stageMembers(now)
 }
 
+// isBootstrapping reports whether recorded replicas of a system that starts for the first time are not open yet. Their
+// loads are not limited before the first call, and those of stage orders would come ahead of them.
+func (s *State) isBootstrapping() bool {
+	return s.settings.bootstrap && !s.callsSeen && s.isForming(s.record.groups)
+}
+
 // advance sends the next orders for one replica: all members join, then the head opens.
 func (s *State) advance(now time.Time, g group) {
 	ready := true
@@ -146,17 +154,18 @@
 		s.lastOrders[n.id] = map[Verb]*sentOrder{}
 	}
 	s.lastOrders[n.id][o.verb] = &sentOrder{
-		order: o, sentAt: now, awaitingReply: true, effectDue: now.Add(duration + orderEffectSlack),
+		order: o, sentAt: now, awaitingReply: true,
+		expectedAt: now.Add(duration), effectDue: now.Add(duration + orderEffectSlack),
 	}
 	s.emit(o)
 }
 
-// mustResend reports whether an order must be sent again after its reply. While the effect is awaited, it probes the
+// mustResend reports whether an order must be sent again after its reply. Once the effect is overdue, it probes the
 // instance, since the list may lag.
 func (s *State) mustResend(now time.Time, n *node, sent *sentOrder) bool {
 	switch sent.reply {
 	case ReplyBegun, ReplyDone:
-		if now.Sub(sent.sentAt) >= orderProbeInterval && now.Sub(sent.lastProbe) >= orderProbeInterval && !n.probing {
+		if now.Sub(sent.expectedAt) >= sent.probeDelay(now) && now.Sub(sent.lastProbe) >= sent.probeDelay(now) && !n.probing {
 			sent.lastProbe = now
 			s.probe(now, n.id, n)
 		}
@@ -165,6 +174,11 @@
 	return now.Sub(sent.sentAt) >= orderRetryInterval
 }
 
+// probeDelay returns the time until the first probe for an effect, and between two of them.
+func (sent *sentOrder) probeDelay(now time.Time) time.Duration {
+	return max(orderProbeInterval, time.Duration(orderProbeBackoff*float64(now.Sub(sent.expectedAt))))
+}
+
 func (sent *sentOrder) isSameOrder(o Order) bool {
 	return sent.order.verb == o.verb && sent.order.replica == o.replica &&
 		sent.order.epoch == o.epoch && sent.order.model == o.model
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -11,8 +12,9 @@
 // rejoinTime is the time to join for an instance whose last replica served the same model.
 const rejoinTime = 200 * time.Millisecond // the platform's figure
 
-// settleTime is how long no new instance must have been listed before replicas are formed. Instances that start together
-// are listed within one heartbeat of each other.
+// settleTime is how long no new instance must have been listed before the plan counts on what is listed. Instances that
+// start together are listed within one heartbeat of each other. Until then, only the model under the highest pressure gets
+// new replicas: others would take the instances that its next replica still waits for.
 const settleTime = 700 * time.Millisecond
 
 // draft is a record that is being changed.
@@ -22,11 +24,23 @@
 	next     record
 	assigned map[ID]bool
 	changed  bool
+	byDomain map[string][]ID // the instances that are alive and not leaving, sorted
+}
+
+// newDraft returns a draft that starts with the groups of next.
+func (s *State) newDraft(now time.Time, next record) *draft {
+	d := &draft{State: s, now: now, next: next, assigned: map[ID]bool{}, byDomain: map[string][]ID{}}
+	for _, id := range s.ids() {
+		if n := s.nodes[id]; n.isAlive() && !n.leaving {
+			d.byDomain[n.domain] = append(d.byDomain[n.domain], id)
+		}
+	}
+	return d
 }
 
 // plan returns the record as it should be, and whether it differs from the current one.
 func (s *State) plan(now time.Time) (record, bool) {
-	d := &draft{State: s, now: now, next: s.record.clone(), assigned: map[ID]bool{}}
+	d := s.newDraft(now, s.record.clone())
 	d.removeUnknownModels()
 	var broken []group
 	kept := d.next.groups[:0]
@@ -46,7 +60,9 @@
 	for _, g := range broken {
 		d.repair(g)
 	}
-	if now.Sub(s.lastArrival) >= settleTime {
+	if now.Sub(s.lastArrival) < settleTime {
+		d.formWhileListing()
+	} else {
 		removed := d.removeCrossDomain()
 		d.form()
 		d.restoreCrossDomain(removed)
@@ -161,9 +177,8 @@
 // first.
 func (d *draft) idle(domain string, model route.Model) []ID {
 	var free []ID
-	for _, id := range d.ids() {
-		n := d.nodes[id]
-		if n.domain == domain && n.isAlive() && !n.leaving && !d.assigned[id] {
+	for _, id := range d.byDomain[domain] {
+		if !d.assigned[id] {
 			free = append(free, id)
 		}
 	}
@@ -191,8 +206,17 @@
 	}
 }
 
-func (d *draft) formOne() bool {
-	for _, model := range d.byPressure() {
+// formWhileListing creates new replicas as long as the model under the highest pressure gets them.
+func (d *draft) formWhileListing() {
+	for d.formOneOf(d.byPressure()[:1]) {
+	}
+}
+
+func (d *draft) formOne() bool { return d.formOneOf(d.byPressure()) }
+
+// formOneOf creates a replica of the first model for which there are enough instances, and reports whether there is one.
+func (d *draft) formOneOf(models []route.Model) bool {
+	for _, model := range models {
 		if members := d.fastestMembers(model); members != nil {
 			d.add(group{d.unusedName(), model.Name(), 0, members})
 			return true
@@ -225,16 +249,8 @@
 	return best
 }
 
-func (d *draft) domains() []string {
-	var domains []string
-	for _, n := range d.nodes {
-		if !slices.Contains(domains, n.domain) {
-			domains = append(domains, n.domain)
-		}
-	}
-	slices.Sort(domains)
-	return domains
-}
+// domains returns the sorted fabric domains that have instances to use.
+func (d *draft) domains() []string { return slices.Sorted(maps.Keys(d.byDomain)) }
 
 // unusedName returns a replica name that is not in the draft. It contains the next epoch, so no earlier record used it.
 func (d *draft) unusedName() string {
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // The limits of probes of instances.
 const (
@@ -40,7 +44,7 @@
 		return
 	}
 	if !n.dead {
-		n.dead = true
+		s.setDead(n, true)
 		s.emit(AnnounceDead{e.id})
 		s.emit(LogEntry{message: "instance dead", replica: n.membership.replica, members: []ID{e.id}, reason: "probes unanswered"})
 	}
@@ -54,7 +58,9 @@
 	isRestarted := n.incarnation != report.incarnation
 	n.membershipConfirmed = now
 	previous := n.membership
-	n.dead, n.missedProbes = false, 0
+	s.setDead(n, false)
+	n.missedProbes = 0
+	s.isPlanUrgent = s.isPlanUrgent || isRestarted || report.membership.phase == PhaseBroken && previous.phase != PhaseBroken
 	n.incarnation, n.loadedModel, n.stagedModels = report.incarnation, report.loadedModel, report.stagedModels
 	if isRestarted {
 		n.membership = report.membership
@@ -75,8 +81,8 @@
 	if s.leading {
 		interval = leaderProbeInterval
 	}
-	for _, id := range s.ids() {
-		if n := s.nodes[id]; n.dead && !n.probing && now.Sub(n.lastProbe) >= interval {
+	for _, id := range slices.Sorted(maps.Keys(s.deadIDs)) {
+		if n := s.nodes[id]; !n.probing && now.Sub(n.lastProbe) >= interval {
 			s.probe(now, id, n)
 		}
 	}
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -94,7 +94,7 @@
 // as idle, so that they can form replicas within a domain. Options with the highest gain for each load come first, since the
 // weight store supports few loads at once.
 func (s *State) stage(now time.Time) {
-	d := &draft{State: s, now: now, next: s.record, assigned: map[ID]bool{}}
+	d := s.newDraft(now, s.record)
 	for _, g := range s.record.groups {
 		if !d.isListed(g) || !d.isCrossDomain(g) {
 			d.assign(g)
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +13,8 @@
 	settings       Settings
 	engine         route.Engine
 	nodes          map[ID]*node
-	sortedIDs      []ID              // of the nodes; nil when outdated
+	sortedIDs      []ID              // of the nodes
+	deadIDs        map[ID]bool       // of the nodes that do not answer probes
 	heads          map[string][]Head // by model
 	lastEvent      time.Time
 	lastArrival    time.Time          // when an unknown instance was last listed
@@ -36,7 +36,9 @@
 	closed            map[replicaEpoch]bool // replicas that have ended their calls
 	departures        map[departure]bool
 	nothingToClose    map[replicaEpoch]bool // replicas whose head has nothing to close
+	lastReconcile     time.Time             // when orders and the plan were last considered
 	lastPlan          time.Time             // when the record was last compared with the state
+	isPlanUrgent      bool                  // an instance was lost or is leaving, or the demand is new since then
 	lastStaging       time.Time
 	lastCounts        time.Time
 	noTransfers       bool                 // replicas never give members to others; for comparison in tests
@@ -62,6 +64,7 @@
 	return State{
 		settings:          settings,
 		nodes:             map[ID]*node{},
+		deadIDs:           map[ID]bool{},
 		heads:             map[string][]Head{},
 		formerAssignments: map[ID][]assignment{},
 		closed:            map[replicaEpoch]bool{},
@@ -78,6 +81,7 @@
 func (s *State) Reduce(now time.Time, e Event) []Effect {
 	s.effects = nil
 	s.checkEventGap(now)
+	isInstanceEvent := true
 	switch e := e.(type) {
 	case Configured:
 		s.engine = e.engine
@@ -87,27 +91,34 @@
 		s.applyProbe(now, e)
 	case Suspected:
 		s.suspect(now, e.id)
+		isInstanceEvent = false
 	case DeclaredDead:
 		if n := s.nodes[e.id]; n != nil {
-			n.dead, n.lastProbe = true, now
+			n.lastProbe = now
+			s.setDead(n, true)
 		}
 	case OrderAnswered:
 		s.applyReply(now, e)
 	case StoreCompleted:
 		s.applyStoreResult(now, e.result)
+		isInstanceEvent = false
 	case LeadershipChanged:
 		s.setLeading(now, e.leading)
+		isInstanceEvent = false
 	case CallsArrived:
 		s.callsSeen = true
+		isInstanceEvent = false
 	case DemandReported:
 		s.callsSeen = true
 		s.updateDemand(e.demand)
+		s.isPlanUrgent = true
+		isInstanceEvent = false
 	case Ticked:
 		s.probeDead(now)
+		isInstanceEvent = false
 	}
-	if _, isTick := e.(Ticked); !isTick {
+	if isInstanceEvent {
 		s.updateHeads()
-		s.lastPlan = time.Time{}
 	}
 	s.reconcile(now)
 	return s.effects
@@ -151,7 +162,8 @@
 	if n == nil {
 		n = &node{}
 		s.nodes[i.id] = n
-		s.sortedIDs = nil
+		position, _ := slices.BinarySearch(s.sortedIDs, i.id)
+		s.sortedIDs = slices.Insert(s.sortedIDs, position, i.id)
 		s.lastArrival = now
 	}
 	if n.incarnation > i.incarnation {
@@ -159,9 +171,13 @@
 	}
 	if n.incarnation != i.incarnation {
 		*n = node{}
+		delete(s.deadIDs, i.id)
 		delete(s.lastOrders, i.id)
+		s.isPlanUrgent = true
 	}
 	known := n.membership
+	s.isPlanUrgent = s.isPlanUrgent || i.leaving && !n.leaving ||
+		i.membership.phase == PhaseBroken && known.phase != PhaseBroken
 	n.Instance = i
 	n.updateMembership(now, known, i.membership)
 	s.noteClosed(known, n)
@@ -169,19 +185,32 @@
 }
 
 func (s *State) removeInstance(id ID) {
+	if s.nodes[id] == nil {
+		return
+	}
 	delete(s.nodes, id)
-	s.sortedIDs = nil
+	delete(s.deadIDs, id)
+	if position, isFound := slices.BinarySearch(s.sortedIDs, id); isFound {
+		s.sortedIDs = slices.Delete(s.sortedIDs, position, position+1)
+	}
 	delete(s.lastOrders, id)
+	s.isPlanUrgent = true
 }
 
-// ids returns the sorted instance IDs. Callers must not modify the slice.
-func (s *State) ids() []ID {
-	if len(s.sortedIDs) != len(s.nodes) {
-		s.sortedIDs = slices.Sorted(maps.Keys(s.nodes))
+// setDead sets whether an instance is taken for dead.
+func (s *State) setDead(n *node, dead bool) {
+	s.isPlanUrgent = s.isPlanUrgent || dead && !n.dead
+	n.dead = dead
+	if dead {
+		s.deadIDs[n.id] = true
+		return
 	}
-	return s.sortedIDs
+	delete(s.deadIDs, n.id)
 }
 
+// ids returns the sorted instance IDs. Callers must not modify the slice.
+func (s *State) ids() []ID { return s.sortedIDs }
+
 // maxReportLag is how long an older membership may still be reported after a newer one. A probe shows the state of some
 // hundred ms ago, and readers of the list forward it to other daemons within 100 ms.
 const maxReportLag = time.Second
