gateway, platform: Select the addresses for each caller from the whole fleet

Cause: an address list had the first 64 daemons by name, the same for every caller, so 231 of 295 daemons got almost no callers and one data centre carried nearly all of them. Change: a caller gets the daemons of its own data centre first and an equal share of the others, by a hash of its address, so that its list stays the same from every daemon. Ruled out: a random sample for each request, since callers close their connections to addresses that are missing from a new list.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -39,8 +39,9 @@
 	Do(ctx context.Context, request object.Request) object.Result
 	// Watch delivers each version of an object until the watch fails or ctx is cancelled.
 	Watch(ctx context.Context, request object.Watch, deliver func(object.Result))
-	// WatchUpstreams delivers gateway.Listed and gateway.ListFailed events until ctx is cancelled.
-	WatchUpstreams(ctx context.Context, deliver func(gateway.Event))
+	// WatchUpstreams delivers gateway.Listed and gateway.ListFailed events until ctx is cancelled; it reads changes at most once
+	// in each interval.
+	WatchUpstreams(ctx context.Context, interval time.Duration, deliver func(gateway.Event))
 	// DecodeConfig parses a configuration from the store.
 	DecodeConfig(data []byte) (route.Config, error)
 }
@@ -57,8 +58,9 @@
 type Endpoints interface {
 	// ReadinessHandler returns the handler of readiness checks.
 	ReadinessHandler(isReady func() bool) http.Handler
-	// AddressHandler returns the handler that serves the addresses for callers with their TTL.
-	AddressHandler(addresses func() []string) http.Handler
+	// AddressHandler returns the handler that serves the addresses for callers with their TTL. It gets them from selectFor, by
+	// the host and the data centre of the caller and the maximum number of addresses.
+	AddressHandler(selectFor func(caller, centre string, limit int) []string) http.Handler
 }
 
 // Adapter is the interface of a daemon to the platform.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -73,7 +73,7 @@
 	e.serve()
 }
 
-func (d *Daemon) isStopping() bool { return !d.ready.Load() && len(d.advertised()) > 0 }
+func (d *Daemon) isStopping() bool { return !d.ready.Load() && len(*d.addresses.Load()) > 0 }
 
 // readBody reads a complete body within the limit of the configuration.
 func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
