--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -43,7 +43,7 @@
 	events            chan gateway.Event
 	state             gateway.State
 	ready             atomic.Bool
-	addresses         atomic.Pointer[[]string]
+	addresses         atomic.Pointer[[]gateway.Address]
 	config            atomic.Pointer[route.Config]
 	lastRequestID     atomic.Uint64
 	ctx               context.Context
@@ -69,7 +69,7 @@
 		ctx:    ctx, cancel: cancel, acceptStopped: make(chan struct{}), stopped: make(chan struct{}),
 		exchanges: map[dispatch.ID]*exchange{}, attemptCancels: map[dispatch.AttemptID]context.CancelFunc{},
 	}
-	d.addresses.Store(&[]string{})
+	d.addresses.Store(&[]gateway.Address{})
 	d.config.Store(&route.Config{})
 	hub, err := link.New(s.Name, s.PeerAddress, link.TLSFiles{}, registry, func(e peer.Event) {
 		d.enqueue(gateway.NewPeerEvent(e))
@@ -107,7 +107,7 @@
 		&http.Server{Handler: d.adapter.Endpoints.ReadinessHandler(d.ready.Load)},
 		listeners[readinessListener])
 	d.serveHTTP(serveCtx, group,
-		&http.Server{Handler: d.adapter.Endpoints.AddressHandler(d.advertised)},
+		&http.Server{Handler: d.adapter.Endpoints.AddressHandler(d.selectAddresses)},
 		listeners[directoryListener])
 	d.serveHTTP(serveCtx, group, &http.Server{Handler: metricsHandler(d.registry)}, listeners[metricsListener])
 	group.Go(func() error { return d.waitForStop(ctx, serveCtx) })
@@ -141,7 +141,10 @@
 	return opened, nil
 }
 
-func (d *Daemon) advertised() []string { return *d.addresses.Load() }
+// selectAddresses returns the addresses for a caller.
+func (d *Daemon) selectAddresses(caller, centre string, limit int) []string {
+	return gateway.SelectAddresses(*d.addresses.Load(), caller, centre, limit)
+}
 
 // enqueue sends an event to the reducer.
 func (d *Daemon) enqueue(e gateway.Event) {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -44,7 +44,7 @@
 	case gateway.Stopped:
 		close(d.stopped)
 	case gateway.WatchUpstreams:
-		d.watchUpstreams(effect.Enabled())
+		d.watchUpstreams(effect)
 	case gateway.Stats:
 		d.recordStats(effect)
 	case gateway.Problem:
@@ -61,17 +61,17 @@
 	}
 }
 
-// watchUpstreams starts or stops the watch of the platform's list of upstreams.
-func (d *Daemon) watchUpstreams(enabled bool) {
-	d.log.Info("daemon", "watch of upstreams changed", "on", enabled)
+// watchUpstreams starts, restarts or stops the watch of the platform's list of upstreams.
+func (d *Daemon) watchUpstreams(watch gateway.WatchUpstreams) {
+	d.log.Info("daemon", "watch of upstreams changed", "on", watch.Enabled(), "interval", watch.Interval())
 	if d.stopUpstreamWatch != nil {
 		d.stopUpstreamWatch()
 		d.stopUpstreamWatch = nil
 	}
-	if enabled {
+	if watch.Enabled() {
 		ctx, cancel := context.WithCancel(d.ctx)
 		d.stopUpstreamWatch = cancel
-		go d.adapter.Store.WatchUpstreams(ctx, d.enqueue)
+		go d.adapter.Store.WatchUpstreams(ctx, watch.Interval(), d.enqueue)
 	}
 }
 
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
@@ -11,7 +12,7 @@
 func (s *State) reducePeer(now time.Time, e peer.Event) {
 	switch e := e.(type) {
 	case peer.Received:
-		delete(s.members.disconnected, e.From())
+		s.members.hear(now, e.From())
 	case peer.LinkClosed:
 		s.members.disconnected[e.Name()] = true
 	}
@@ -35,6 +36,7 @@
 		s.receiveMessage(now, effect)
 	case peer.Members:
 		s.members.live = effect.Members()
+		slices.SortFunc(s.members.live, compareRank)
 	case peer.Send, peer.ResetLinks, peer.StopWatches:
 		s.emit(PeerEffect{effect})
 	}
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -24,7 +24,7 @@
 	receivedAt time.Time
 }
 
-// reportDemand sends the demand since the last report to the leader. The leader sums the reports of all daemons, since the
+// reportDemand sends the demand since the last report to the leader, also if there was none. The leader sums the reports of all daemons, since the
 // share of a single daemon varies by a third from second to second.
 func (s *State) reportDemand(now time.Time) {
 	s.emitStats(now)
@@ -45,9 +45,10 @@
 		s.reportTotalDemand(now)
 		return
 	}
-	if s.members.leader == "" || len(work) == 0 {
+	if s.members.leader == "" {
 		return
 	}
+	s.members.ask(now)
 	data, err := msgpack.Marshal(work)
 	if err != nil {
 		s.emit(Problem{"demand not encoded", err.Error()})
@@ -69,16 +70,26 @@
 	s.emit(stats)
 }
 
-// receiveDemand stores the demand that a daemon reports.
+// receiveDemand stores the demand that a daemon reports. The leader answers with an empty report, so that the daemon knows
+// that its leader is alive.
 func (s *State) receiveDemand(now time.Time, message peer.DeliverDirectMessage) {
 	var work map[string]float64
 	if err := msgpack.Unmarshal(message.Data(), &work); err != nil {
 		s.emit(Problem{"demand from " + message.From() + " not decoded", trace.Wrap(err).Error()})
 		return
 	}
+	if s.members.leader != s.members.self {
+		return
+	}
 	s.demandByDaemon[message.From()] = daemonDemand{work, now}
+	s.reducePeer(now, peer.NewDirectMessageRequested(message.From(), demandTopic, emptyDemand))
 }
 
+// emptyDemand is the encoding of a report without demand.
+var emptyDemand = []byte{msgpackEmptyMap}
+
+const msgpackEmptyMap = 0x80
+
 // reportTotalDemand passes the demand of all daemons to the formation of replicas.
 func (s *State) reportTotalDemand(now time.Time) {
 	sum := map[string]float64{}
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/object"
 	"github.com/azurepond/azurepond/pkg/peer"
@@ -29,10 +31,11 @@
 func (d DecodeConfig) Document() peer.Document { return d.document }
 
 // Advertise sets the addresses that callers receive from now on.
-type Advertise struct{ addresses []string }
+type Advertise struct{ addresses []Address }
 
-// Addresses returns the addresses (host:port), this daemon's own first if it is ready and not stopping.
-func (a Advertise) Addresses() []string { return a.addresses }
+// Addresses returns the addresses of the daemons that callers may connect to, this daemon's own first if it is ready and not
+// stopping.
+func (a Advertise) Addresses() []Address { return a.addresses }
 
 // Ready sets whether this daemon reports itself as ready.
 type Ready struct {
@@ -64,11 +67,14 @@
 // Leader returns the name of the leader, empty for none.
 func (l LeaderChanged) Leader() string { return l.leader }
 
-// WatchUpstreams starts or stops watching the platform's list of upstreams.
-type WatchUpstreams struct{ enabled bool }
+// WatchUpstreams starts, restarts or stops watching the platform's list of upstreams.
+type WatchUpstreams struct{ interval time.Duration }
 
 // Enabled reports whether the watch is to run.
-func (w WatchUpstreams) Enabled() bool { return w.enabled }
+func (w WatchUpstreams) Enabled() bool { return w.interval > 0 }
+
+// Interval returns the minimum time between two reads of changes.
+func (w WatchUpstreams) Interval() time.Duration { return w.interval }
 
 // Stats counts the work in progress at this daemon; it is emitted once a second.
 type Stats struct {
--- /dev/null
+++ b/pkg/gateway/fleet_test.go
@@ -0,0 +1,573 @@
+package gateway
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/object"
+	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/replica"
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// The delays of the simulated network, store and engines.
+const (
+	fleetLinkDelay   = 2 * time.Millisecond
+	fleetStoreDelay  = 6 * time.Millisecond
+	fleetListDelay   = 60 * time.Millisecond // the pause between two reads of the list and half a heartbeat of lag
+	fleetTick        = 25 * time.Millisecond
+	fleetRejoinTime  = 200 * time.Millisecond
+	fleetUnlistDelay = 3600 * time.Millisecond // three missed heartbeats
+	fleetFrameBytes  = 26                      // overhead of a message on a link
+)
+
+var (
+	fleetEpoch     = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	fleetConfigKey = object.NewKey("config", "main")
+	fleetRecordKey = object.NewKey("replicas", "main")
+)
+
+// fleetSize is the size and the load of a simulated fleet.
+type fleetSize struct {
+	daemons, engines, centres int
+	domain                    int // engines in a fabric domain
+	large, small              int // instances in a replica of each model
+	loadsPerSecond            float64
+	concurrentLoads           int
+	callsPerSecond            float64 // from the start of traffic
+}
+
+// largeFleet is a fleet of hundreds of daemons.
+var largeFleet = fleetSize{
+	daemons: 295, engines: 925, centres: 5, domain: 37, large: 16, small: 8, loadsPerSecond: 77, concurrentLoads: 115,
+	callsPerSecond: 900,
+}
+
+// fleetEngine is an engine that carries out orders.
+type fleetEngine struct {
+	id         replica.ID
+	centre     string
+	domain     string
+	listed     bool
+	down       bool
+	staged     string
+	loaded     string
+	lastModel  string
+	membership replica.Membership
+	members    []replica.ID
+	change     int       // number of the last change, so that a superseded one has no effect
+	stagedAt   time.Time // end of the last staging
+	running    int       // calls
+}
+
+// fleetDaemon is a daemon with the counts of its work.
+type fleetDaemon struct {
+	State
+	name      string
+	address   string
+	down      bool
+	watching  bool // the list of upstreams
+	started   time.Time
+	sentBytes int
+	received  int
+	messages  map[string]int
+	events    map[string]int
+	orders    int
+	probes    int
+	storeCall int
+	nextCall  dispatch.ID
+}
+
+// fleetCall is a call at a daemon.
+type fleetCall struct {
+	arrived time.Time
+	model   string
+	sentAt  time.Time
+	outcome string
+}
+
+type fleetEvent struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type fleetQueue []fleetEvent
+
+func (q fleetQueue) Len() int { return len(q) }
+
+func (q fleetQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+
+func (q fleetQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *fleetQueue) Push(x any) { *q = append(*q, x.(fleetEvent)) }
+
+func (q *fleetQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// fleet runs the reducers and the codec of many daemons in one process, with engines that carry out orders.
+type fleet struct {
+	size     fleetSize
+	now      time.Time
+	queue    fleetQueue
+	order    int
+	random   *rand.Rand
+	daemons  []*fleetDaemon
+	byName   map[string]*fleetDaemon
+	byAddr   map[string]*fleetDaemon
+	linked   map[[2]string]bool
+	engines  []*fleetEngine
+	byID     map[replica.ID]*fleetEngine
+	objects  map[string][]byte
+	versions map[string]int
+	watches  map[string][]func()
+	traffic  time.Time // its start
+	loadFree time.Time // when the weight store may start the next load
+	loadEnds []time.Time
+	calls    map[string]*fleetCall // by daemon and id
+	openedAt []time.Time           // of each replica, in order
+}
+
+func newFleet(size fleetSize, traffic time.Duration) *fleet {
+	f := &fleet{
+		size: size, now: fleetEpoch, random: rand.New(rand.NewPCG(1, 2)), byName: map[string]*fleetDaemon{},
+		byAddr: map[string]*fleetDaemon{}, linked: map[[2]string]bool{}, byID: map[replica.ID]*fleetEngine{},
+		objects: map[string][]byte{fleetConfigKey.String(): []byte(`{"version":1}`)}, versions: map[string]int{fleetConfigKey.String(): 1},
+		watches: map[string][]func(){}, traffic: fleetEpoch.Add(traffic), calls: map[string]*fleetCall{},
+	}
+	for i := range size.engines {
+		e := &fleetEngine{
+			id: replica.ID(fmt.Sprintf("i-%04d", i)), centre: fmt.Sprintf("c%d", i*size.centres/size.engines),
+			domain: fmt.Sprintf("d%03d", i/size.domain),
+		}
+		f.engines = append(f.engines, e)
+		f.byID[e.id] = e
+		f.after(2200*time.Millisecond+time.Duration(f.random.Int64N(int64(4*time.Second))), func() { f.list(e) })
+	}
+	for i := range size.daemons {
+		d := &fleetDaemon{
+			name: fmt.Sprintf("edge-%03d", i), address: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250),
+			messages: map[string]int{}, events: map[string]int{},
+		}
+		f.daemons = append(f.daemons, d)
+		f.byName[d.name], f.byAddr[d.address] = d, d
+		f.after(time.Duration(f.random.Int64N(int64(300*time.Millisecond))), func() { f.start(d, i) })
+	}
+	f.after(traffic, f.startTraffic)
+	return f
+}
+
+// config returns the configuration that all daemons decode.
+func (f *fleet) config() route.Config {
+	engine := route.NewEngine(22,
+		route.NewModel("large", f.size.large, 0.5, 1).WithLoadTimes(16*time.Second, 1600*time.Millisecond),
+		route.NewModel("small", f.size.small, 0.5, 0.6).WithLoadTimes(12*time.Second, 1100*time.Millisecond)).
+		WithStepTimes(6070*time.Microsecond, 241*time.Microsecond, 8, 46000, 2048).
+		WithLoadLimits(f.size.loadsPerSecond, f.size.concurrentLoads, 1, 300*time.Millisecond).
+		WithCrossDomainFactor(2.5)
+	return route.New(1).
+		WithServices(route.NewService("engines", "/h", 1988).WithEngine(engine)).
+		WithRoutes(route.NewRoute("draft", "pond", "/draft/", route.Stream).
+			WithTimes(6*time.Second, 400*time.Millisecond, 250*time.Millisecond).WithMaxAttempts(2).WithResumable(true).
+			WithSplit(route.NewWeightedService("engines", 1))).
+		WithOrganisation(route.NewOrganisation("one", 0, false), "one").
+		WithOrganisation(route.NewOrganisation("two", 0, false), "two")
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, fleetEvent{f.now.Add(d), f.order, run})
+}
+
+// run advances the time to t after the start.
+func (f *fleet) run(t time.Duration) {
+	end := fleetEpoch.Add(t)
+	for f.queue.Len() > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(fleetEvent)
+		f.now = next.at
+		next.run()
+	}
+	f.now = end
+}
+
+func (f *fleet) start(d *fleetDaemon, i int) {
+	d.started = f.now
+	settings := NewSettings(d.name, fmt.Sprintf("c%d", i%f.size.centres), fmt.Sprint(f.now.UnixNano()), uint64(i+1)).
+		WithAddresses(d.address, d.address).WithSeeds(f.daemons[0].address, f.daemons[1].address, f.daemons[2].address).
+		WithBootstrap(true).WithResources(f.cores(i), f.cores(i)*250e6).WithConfig(fleetConfigKey, "version").WithRecord(fleetRecordKey).
+		WithRetryLimits(dispatch.NewRetryLimits(0.2, 696, 10*time.Second))
+	f.feed(d, NewStarted(settings))
+	f.tick(d)
+}
+
+// cores returns the processor time of a daemon's instance: three daemons in each data centre have four times as much.
+func (f *fleet) cores(i int) float64 {
+	if i >= len(f.daemons)-3*f.size.centres {
+		return 0.8
+	}
+	return 0.2
+}
+
+func (f *fleet) tick(d *fleetDaemon) {
+	f.feed(d, NewTicked())
+	f.after(fleetTick, func() { f.tick(d) })
+}
+
+func (f *fleet) feed(d *fleetDaemon, e Event) {
+	if d.down {
+		return
+	}
+	switch e := e.(type) {
+	case PeerEvent:
+		d.events[fmt.Sprintf("%T", e.event)]++
+	default:
+		d.events[fmt.Sprintf("%T", e)]++
+	}
+	for _, effect := range d.Reduce(f.now, e) {
+		f.apply(d, effect)
+	}
+}
+
+func (f *fleet) apply(d *fleetDaemon, effect Effect) {
+	switch effect := effect.(type) {
+	case Store:
+		d.storeCall++
+		f.after(fleetStoreDelay, func() { f.callStore(d, effect) })
+	case DecodeConfig:
+		f.after(0, func() { f.feed(d, NewConfigDecoded(f.config())) })
+	case WatchUpstreams:
+		d.watching = effect.Enabled()
+		if d.watching {
+			d.storeCall++
+			f.after(fleetStoreDelay, func() { f.feed(d, NewListed(f.listed())) })
+		}
+	case PeerEffect:
+		if send, isSend := effect.Effect().(peer.Send); isSend {
+			f.send(d, send)
+		}
+	case ReplicaEffect:
+		f.applyReplica(d, effect.Effect())
+	case DispatchEffect:
+		f.applyDispatch(d, effect.Effect())
+	}
+}
+
+// send delivers a message through the codec.
+func (f *fleet) send(d *fleetDaemon, send peer.Send) {
+	to := f.byAddr[send.Address()]
+	if to == nil || to.down || to.started.IsZero() {
+		return // the connection is refused
+	}
+	data, err := peer.Encode(send.Message())
+	if err != nil {
+		panic(err)
+	}
+	size := len(data) + fleetFrameBytes
+	d.sentBytes += size
+	pair := [2]string{min(d.name, to.name), max(d.name, to.name)}
+	if !f.linked[pair] {
+		f.linked[pair] = true
+		f.after(fleetLinkDelay, func() {
+			f.feed(to, NewPeerEvent(peer.NewLinkOpened(d.name, d.address)))
+			f.feed(d, NewPeerEvent(peer.NewLinkOpened(to.name, to.address)))
+		})
+	}
+	f.after(fleetLinkDelay, func() {
+		message, err := peer.Decode(data)
+		if err != nil {
+			panic(err)
+		}
+		to.received += size
+		f.feed(to, NewPeerEvent(peer.NewReceived(d.name, message, size)))
+	})
+}
+
+func (f *fleet) callStore(d *fleetDaemon, effect Store) {
+	request := effect.Request()
+	key, ref := request.Key().String(), request.Ref()
+	version := object.Version("")
+	if f.versions[key] > 0 {
+		version = object.Version(fmt.Sprint(f.versions[key]))
+	}
+	reply := func(result object.Result) { f.feed(d, NewStoreCompleted(effect.Component(), result)) }
+	switch r := request.(type) {
+	case object.Put:
+		if r.ExpectedVersion() != version {
+			reply(object.NewConflict(ref))
+			return
+		}
+		f.versions[key]++
+		f.objects[key] = r.Data()
+		reply(object.NewStored(ref, object.Version(fmt.Sprint(f.versions[key]))))
+	default:
+		if version == "" {
+			reply(object.NewAbsent(ref))
+			return
+		}
+		reply(object.NewFound(ref, version, f.objects[key]))
+	}
+}
+
+// list registers an engine in the list.
+func (f *fleet) list(e *fleetEngine) {
+	e.listed = true
+	f.changed(e)
+}
+
+func (f *fleet) entry(e *fleetEngine) Upstream {
+	instance := replica.NewInstance(e.id, string(e.id), e.centre, e.domain, 1)
+	if e.staged != "" {
+		instance = instance.WithModels(e.loaded, e.staged)
+	}
+	return NewUpstream("engines", 22, instance.WithMembership(e.membership))
+}
+
+func (f *fleet) listed() []Upstream {
+	var all []Upstream
+	for _, e := range f.engines {
+		if e.listed {
+			all = append(all, f.entry(e))
+		}
+	}
+	return all
+}
+
+// changed tells the daemons that watch the list of a changed entry.
+func (f *fleet) changed(e *fleetEngine) {
+	if !e.listed || e.down {
+		return
+	}
+	entry := f.entry(e)
+	f.after(fleetListDelay, func() {
+		for _, d := range f.daemons {
+			if d.watching {
+				f.feed(d, NewListChanges([]Upstream{entry}, nil))
+			}
+		}
+	})
+}
+
+// kill stops an engine without notice.
+func (f *fleet) kill(e *fleetEngine) {
+	e.down = true
+	f.after(fleetUnlistDelay, func() {
+		e.listed = false
+		for _, d := range f.daemons {
+			if d.watching {
+				f.feed(d, NewListChanges(nil, []replica.ID{e.id}))
+			}
+		}
+	})
+}
+
+func (f *fleet) applyReplica(d *fleetDaemon, effect replica.Effect) {
+	switch effect := effect.(type) {
+	case replica.Order:
+		d.orders++
+		f.after(fleetLinkDelay, func() {
+			e := f.byID[effect.ID()]
+			if e.down {
+				f.after(200*time.Millisecond, func() {
+					f.feed(d, NewReplicaEvent(replica.NewOrderAnswered(effect, replica.ReplyUnanswered)))
+				})
+				return
+			}
+			f.feed(d, NewReplicaEvent(replica.NewOrderAnswered(effect, f.carryOut(e, effect))))
+		})
+	case replica.Probe:
+		d.probes++
+		f.after(fleetLinkDelay, func() {
+			e := f.byID[effect.ID()]
+			if e.down {
+				f.after(120*time.Millisecond, func() { f.feed(d, NewReplicaEvent(replica.NewProbeFailed(effect.ID()))) })
+				return
+			}
+			f.feed(d, NewReplicaEvent(replica.NewProbed(f.entry(e).Instance())))
+		})
+	}
+}
+
+// load returns when a load from the weight store ends that is requested now.
+func (f *fleet) load(model string) time.Duration {
+	duration := f.model(model).LoadTime()
+	if f.now.Before(f.traffic) {
+		duration /= 10
+	}
+	if f.loadFree.Before(f.now) {
+		f.loadFree = f.now
+	}
+	f.loadFree = f.loadFree.Add(time.Duration(float64(time.Second) / f.size.loadsPerSecond))
+	return f.loadFree.Add(duration).Sub(f.now)
+}
+
+func (f *fleet) model(name string) route.Model {
+	service, _ := f.config().EngineService()
+	model, _ := service.Engine().Model(name)
+	return model
+}
+
+// carryOut carries out an order as engines do.
+func (f *fleet) carryOut(e *fleetEngine, o replica.Order) replica.Reply {
+	m := e.membership
+	isMember := m.Replica() == o.Replica() && m.Epoch() == o.Epoch() && m.Phase() != replica.PhaseNone
+	switch o.Verb() {
+	case replica.VerbJoin:
+		if isMember {
+			return replica.ReplyDone
+		}
+		f.join(e, o)
+	case replica.VerbOpen:
+		if !isMember || m.Phase() != replica.PhaseReady {
+			return replica.ReplyUnfit
+		}
+		f.changeLater(e, 300*time.Millisecond, func() {
+			e.membership = replica.NewMembership(m.Replica(), m.Epoch(), m.Rank(), replica.PhaseOpen)
+			f.openedAt = append(f.openedAt, f.now)
+		})
+	case replica.VerbCloseCut, replica.VerbCloseWait:
+		if !isMember || m.Phase() != replica.PhaseOpen {
+			return replica.ReplyUnfit
+		}
+		e.change++
+		e.membership = replica.NewMembership(m.Replica(), m.Epoch(), m.Rank(), replica.PhaseReady)
+		f.changed(e)
+	case replica.VerbLeave:
+		if isMember {
+			e.change++
+			e.membership, e.members = replica.Membership{}, nil
+			f.changed(e)
+		}
+	case replica.VerbStage:
+		wait := f.load(o.Model())
+		e.stagedAt = f.now.Add(wait)
+		f.after(wait, func() {
+			e.staged = o.Model()
+			f.changed(e)
+		})
+	}
+	return replica.ReplyBegun
+}
+
+func (f *fleet) join(e *fleetEngine, o replica.Order) {
+	var duration time.Duration
+	switch {
+	case e.lastModel == o.Model():
+		duration = fleetRejoinTime
+	case e.staged == o.Model() || e.stagedAt.After(f.now):
+		duration = max(e.stagedAt.Sub(f.now), 0) + f.model(o.Model()).WarmLoadTime()
+	default:
+		duration = f.load(o.Model())
+	}
+	rank := 0
+	for i, id := range o.Members() {
+		if id == e.id {
+			rank = i
+		}
+	}
+	e.members, e.loaded = o.Members(), o.Model()
+	e.membership = replica.NewMembership(o.Replica(), o.Epoch(), rank, replica.PhaseJoining)
+	f.changed(e)
+	f.changeLater(e, duration, func() {
+		e.staged, e.lastModel = o.Model(), o.Model()
+		e.membership = replica.NewMembership(o.Replica(), o.Epoch(), rank, replica.PhaseReady)
+	})
+}
+
+// changeLater applies a change after d unless another change of the engine comes before.
+func (f *fleet) changeLater(e *fleetEngine, d time.Duration, apply func()) {
+	e.change++
+	number := e.change
+	f.after(d, func() {
+		if e.change == number && !e.down {
+			apply()
+			f.changed(e)
+		}
+	})
+}
+
+// open returns how many replicas are complete and open.
+func (f *fleet) open() int {
+	count := 0
+	for _, e := range f.engines {
+		if e.membership.Phase() != replica.PhaseOpen || e.membership.Rank() != 0 {
+			continue
+		}
+		isWhole := !e.down
+		for _, id := range e.members {
+			isWhole = isWhole && !f.byID[id].down
+		}
+		if isWhole {
+			count++
+		}
+	}
+	return count
+}
+
+// startTraffic begins the calls, which arrive at random daemons.
+func (f *fleet) startTraffic() {
+	gap := f.random.ExpFloat64() / f.size.callsPerSecond
+	f.after(time.Duration(gap*float64(time.Second)), func() {
+		f.arrive(f.daemons[f.random.IntN(len(f.daemons))])
+		f.startTraffic()
+	})
+}
+
+func callKey(d *fleetDaemon, id dispatch.ID) string { return fmt.Sprint(d.name, "/", id) }
+
+func (f *fleet) arrive(d *fleetDaemon) {
+	d.nextCall++
+	call := &fleetCall{arrived: f.now, model: "small"}
+	prompt := 674
+	if f.random.Float64() < 0.24 {
+		call.model, prompt = "large", 1420
+	}
+	f.calls[callKey(d, d.nextCall)] = call
+	f.feed(d, NewDispatchEvent(dispatch.NewArrived(dispatch.NewRequest(d.nextCall, callKey(d, d.nextCall), "pond", "/draft/x", "one").
+		WithModel(call.model, prompt, 140).WithTimeout(6*time.Second).WithContentHash(uint64(f.order)))))
+}
+
+func (f *fleet) applyDispatch(d *fleetDaemon, effect dispatch.Effect) {
+	switch effect := effect.(type) {
+	case dispatch.Send:
+		f.after(fleetLinkDelay, func() { f.serve(d, effect) })
+	case dispatch.Refuse:
+		f.calls[callKey(d, effect.ID())].outcome = "refused"
+	case dispatch.Fail:
+		f.calls[callKey(d, effect.ID())].outcome = "failed"
+	}
+}
+
+// serve runs a call at the engine that it was sent to, if that is the head of an open replica with a free slot.
+func (f *fleet) serve(d *fleetDaemon, send dispatch.Send) {
+	e := f.byID[replica.ID(send.Upstream())]
+	dispatched := func(after time.Duration, event dispatch.Event) {
+		f.after(after, func() { f.feed(d, NewDispatchEvent(event)) })
+	}
+	if e.down || e.membership.Phase() != replica.PhaseOpen || e.running >= 22 {
+		dispatched(fleetLinkDelay, dispatch.NewFailed(send.Attempt(), dispatch.NotRun))
+		return
+	}
+	e.running++
+	call := f.calls[callKey(d, send.ID())]
+	service, _ := f.config().EngineService()
+	interval := service.Engine().EventInterval(f.model(call.model), e.running)
+	first := 2*interval + service.Engine().Read(f.model(call.model), 1000)
+	dispatched(first, dispatch.NewStarted(send.Attempt(), dispatch.Load{}))
+	dispatched(first, dispatch.NewFirstEventReceived(send.Attempt()))
+	f.after(first+18*interval, func() {
+		e.running--
+		call.outcome = "answered"
+		f.feed(d, NewDispatchEvent(dispatch.NewCompleted(send.Attempt())))
+	})
+}
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -33,17 +33,21 @@
 type members struct {
 	self             string
 	startedAt        time.Time
-	live             []peer.Member
-	disconnected     map[string]bool   // the link closed and nothing was received since
-	outages          map[string]outage // peers without full access to the store
-	sharedAccess     byte              // access of this daemon as last shared with peers
-	storeUnreachable bool              // from this daemon
+	live             []peer.Member        // by rank
+	disconnected     map[string]bool      // the link closed and nothing was received since
+	heardAt          map[string]time.Time // when a message of a peer last arrived
+	unresponsive     map[string]bool      // peers that did not answer as the leader, and were not heard of since
+	unansweredSince  time.Time            // when the leader was first asked without an answer, zero for none
+	outages          map[string]outage    // peers without full access to the store
+	sharedAccess     byte                 // access of this daemon as last shared with peers
+	storeUnreachable bool                 // from this daemon
 	sharedAt         time.Time
 	refreshedAt      time.Time
 	candidate        string // first of the ranking
 	candidateSince   time.Time
 	leader           string
 	readers          []string // the other daemons that read the list
+	nearReaders      []string // those in the data centre of this daemon
 	isReader         bool
 	budgetPeerSeenAt map[string]time.Time // when a member was last seen live
 	budgetPeers      int
@@ -53,7 +57,8 @@
 func newMembers(now time.Time, self string) members {
 	return members{
 		self: self, startedAt: now,
-		disconnected: map[string]bool{}, outages: map[string]outage{},
+		disconnected: map[string]bool{}, outages: map[string]outage{}, heardAt: map[string]time.Time{},
+		unresponsive:     map[string]bool{},
 		budgetPeerSeenAt: map[string]time.Time{},
 		starts:           map[string]daemonStart{},
 	}
@@ -66,6 +71,7 @@
 		return
 	}
 	m.refreshedAt = now
+	m.checkLeader(now)
 	if access := s.storeAccess(now); access != m.sharedAccess ||
 		access != accessFull && now.Sub(m.sharedAt) >= outageFactInterval {
 		s.shareStoreAccess(now)
@@ -79,6 +85,32 @@
 	s.countBudgetPeers(now, fresh)
 }
 
+// hear records that a message of a peer arrived.
+func (m *members) hear(now time.Time, name string) {
+	delete(m.disconnected, name)
+	delete(m.unresponsive, name)
+	m.heardAt[name] = now
+	if name == m.leader {
+		m.unansweredSince = time.Time{}
+	}
+}
+
+// ask records that the leader was sent a message that it answers.
+func (m *members) ask(now time.Time) {
+	if m.unansweredSince.IsZero() {
+		m.unansweredSince = now
+	}
+}
+
+// checkLeader stops following a leader that does not answer, until a message of it arrives. In a large fleet its missing
+// heartbeats are noticed only after many seconds.
+func (m *members) checkLeader(now time.Time) {
+	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) >= minHeartbeatTimeout {
+		m.unresponsive[m.leader] = true
+		m.unansweredSince = time.Time{}
+	}
+}
+
 // The access of a daemon to the store.
 const (
 	accessFull       = byte(iota)
@@ -107,29 +139,35 @@
 	s.reducePeer(now, peer.NewFactShared(outageTopic, "", value, now.Add(outageFactTTL)))
 }
 
-// rankMembers returns the daemons that are known to reach the store, the oldest first. All daemons agree on this order,
-// and a restarted daemon replaces no running one.
-func (s *State) rankMembers(now time.Time, fresh []peer.Member) []string {
-	var eligible []peer.Member
-	if s.stopping.IsZero() && !s.members.storeUnreachable && now.Sub(s.members.startedAt) >= minLeaderUptime {
-		eligible = append(eligible, s.ownMember()...)
-	}
-	for _, member := range fresh {
-		if !member.Leaving() && s.storeAccessOf(now, member.Name()) != accessNone {
-			eligible = append(eligible, member)
+// rankMembers returns the daemons that are known to reach the store, those with the most resources first. All daemons agree
+// on this order, and a restarted daemon replaces no running one of its class.
+func (s *State) rankMembers(now time.Time, fresh []peer.Member) []peer.Member {
+	isEligible := s.stopping.IsZero() && !s.members.storeUnreachable && now.Sub(s.members.startedAt) >= minLeaderUptime
+	return slices.DeleteFunc(s.withOwn(fresh), func(member peer.Member) bool {
+		if member.Name() == s.members.self {
+			return !isEligible
 		}
+		return member.Leaving() || s.members.unresponsive[member.Name()] || s.storeAccessOf(now, member.Name()) == accessNone
+	})
+}
+
+// withOwn returns a copy of fresh, by rank, with this daemon's own entry among them once it is listed.
+func (s *State) withOwn(fresh []peer.Member) []peer.Member {
+	all := slices.Clone(fresh)
+	for _, own := range s.ownMember() {
+		position, _ := slices.BinarySearchFunc(all, own, compareRank)
+		all = slices.Insert(all, position, own)
 	}
-	slices.SortFunc(eligible, compareAge)
-	names := make([]string, 0, len(eligible))
-	for _, member := range eligible {
-		names = append(names, member.Name())
-	}
-	return names
+	return all
 }
 
-// compareAge orders daemons by start time, the oldest first.
-func compareAge(a, b peer.Member) int {
-	return cmp.Or(cmp.Compare(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Name(), b.Name()))
+// compareRank orders daemons by the class of their resources, the highest first, and then by start time, the oldest first.
+func compareRank(a, b peer.Member) int {
+	return cmp.Or(
+		cmp.Compare(b.Capacity(), a.Capacity()),
+		cmp.Compare(a.Incarnation(), b.Incarnation()),
+		cmp.Compare(a.Name(), b.Name()),
+	)
 }
 
 // daemonStart is a start of a daemon, and when this daemon first saw it.
@@ -175,22 +213,42 @@
 	return nil
 }
 
-// chooseReaders selects the first daemons of the ranking as readers of the platform's list.
-func (s *State) chooseReaders(now time.Time, ranking []string) {
+// chooseReaders selects the readers of the platform's list: the first daemon of the ranking in each data centre, so that the
+// list passes between data centres only once, and the next ones of the ranking if there are fewer than minReaders.
+func (s *State) chooseReaders(now time.Time, ranking []peer.Member) {
 	m := &s.members
-	eligible := slices.DeleteFunc(slices.Clone(ranking), func(name string) bool {
-		return s.storeAccessOf(now, name) != accessFull
-	})
-	first := eligible[:min(maxReaders, len(eligible))]
-	m.isReader = slices.Contains(first, m.self)
-	m.readers = slices.DeleteFunc(slices.Clone(first), func(name string) bool { return name == m.self })
+	var first, others []peer.Member
+	centres := map[string]bool{}
+	for _, member := range ranking {
+		switch {
+		case s.storeAccessOf(now, member.Name()) != accessFull:
+		case centres[member.Centre()]:
+			others = append(others, member)
+		default:
+			centres[member.Centre()] = true
+			first = append(first, member)
+		}
+	}
+	first = append(first, others[:min(max(minReaders-len(first), 0), len(others))]...)
+	m.isReader, m.readers, m.nearReaders = false, nil, nil
+	for _, member := range first {
+		switch {
+		case member.Name() == m.self:
+			m.isReader = true
+			continue
+		case member.Centre() == s.settings.centre:
+			m.nearReaders = append(m.nearReaders, member.Name())
+		}
+		m.readers = append(m.readers, member.Name())
+	}
 }
 
-// freshMembers returns the other live members with a recent heartbeat and no closed link.
+// freshMembers returns the other live members with a recent heartbeat or message and no closed link, by rank.
 func (s *State) freshMembers(now time.Time) []peer.Member {
 	late := map[string]bool{}
 	for _, lag := range s.peer.MemberRevisions(now) {
-		late[lag.Name()] = lag.Age() > max(minHeartbeatTimeout, maxMissedHeartbeats*s.peer.HeartbeatInterval())
+		late[lag.Name()] = lag.Age() > max(minHeartbeatTimeout, maxMissedHeartbeats*s.peer.HeartbeatInterval()) &&
+			now.Sub(s.members.heardAt[lag.Name()]) > minHeartbeatTimeout
 	}
 	var fresh []peer.Member
 	for _, member := range s.members.live {
@@ -203,11 +261,11 @@
 
 // chooseLeader elects the first daemon of the ranking. Two daemons may lead at once while their views differ; the
 // conditional write of the record keeps that safe.
-func (s *State) chooseLeader(now time.Time, ranking []string) {
+func (s *State) chooseLeader(now time.Time, ranking []peer.Member) {
 	m := &s.members
 	first := ""
 	if len(ranking) > 0 {
-		first = ranking[0]
+		first = ranking[0].Name()
 	}
 	if first != m.candidate {
 		m.candidate, m.candidateSince = first, now
@@ -215,7 +273,7 @@
 	if first == m.leader || first == m.self && (now.Sub(m.candidateSince) < leaderStableWindow || !s.listing.known) {
 		return
 	}
-	m.leader = first
+	m.leader, m.unansweredSince = first, time.Time{}
 	leading := first == m.self
 	s.emit(LeaderChanged{leading, first})
 	s.reduceReplica(now, replica.NewLeadershipChanged(leading))
@@ -223,13 +281,13 @@
 
 // advertise notifies the driver when the addresses for callers change.
 func (s *State) advertise(fresh []peer.Member) {
-	var addresses []string
+	var addresses []Address
 	if s.stopping.IsZero() && s.ready {
-		addresses = append(addresses, s.settings.callerAddress)
+		addresses = append(addresses, NewAddress(s.settings.callerAddress, s.settings.centre))
 	}
 	for _, member := range fresh {
 		if !member.Leaving() {
-			addresses = append(addresses, member.CallerAddress())
+			addresses = append(addresses, NewAddress(member.CallerAddress(), member.Centre()))
 		}
 	}
 	if !slices.Equal(addresses, s.addresses) {
@@ -250,6 +308,7 @@
 		if now.Sub(seenAt) > budgetPeerTTL {
 			delete(m.budgetPeerSeenAt, name)
 			delete(m.starts, name)
+			delete(m.heardAt, name)
 		}
 	}
 	if len(m.budgetPeerSeenAt) != m.budgetPeers {
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
@@ -17,6 +18,7 @@
 	seed          uint64
 	seeds         []string
 	bootstrap     bool
+	capacity      uint8
 	configKey     object.Key
 	revisionField string
 	recordKey     object.Key
@@ -42,6 +44,19 @@
 	return s
 }
 
+// The units in which an instance's resources are compared: below one unit of their product, an instance has class 0.
+const (
+	processorUnit = 0.01 // cores
+	linkUnit      = 1e6  // bits per second
+)
+
+// WithResources returns the settings with the processor time (cores) and the link (bits per second) of the daemon's
+// instance. Daemons with more of both lead, read the list and own shards first; those within a factor of two are equal.
+func (s Settings) WithResources(cores, link float64) Settings {
+	s.capacity = uint8(max(math.Log2(max(cores/processorUnit*link/linkUnit, 1)), 0))
+	return s
+}
+
 // WithBootstrap returns the settings with whether the whole system starts for the first time.
 func (s Settings) WithBootstrap(bootstrap bool) Settings {
 	s.bootstrap = bootstrap
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -60,15 +60,16 @@
 // The limits on the choice of shard owners.
 const (
 	maxShardOwners   = 16              // two models have eight shards; daemons that start and stop are seldom among the oldest
+	minShardOwners   = 4               // below it, daemons with fewer resources own shards too
 	minShardOwnerAge = 3 * time.Second // a daemon that has just started knows no replica for up to a second
 )
 
-// refreshShardOwners selects the oldest live daemons that are not stopping as shard owners, so that a rolling restart
-// moves few shards.
+// refreshShardOwners selects live daemons that are not stopping as shard owners: those with the most resources, since an
+// owner handles a message for each call in its shards, and of these the oldest, so that a rolling restart moves few shards.
 func (s *State) refreshShardOwners(now time.Time, fresh []peer.Member) {
 	live := []string{s.members.self}
 	var old, young []peer.Member
-	for _, member := range append(s.ownMember(), fresh...) {
+	for _, member := range s.withOwn(fresh) {
 		if member.Name() != s.members.self {
 			live = append(live, member.Name())
 		}
@@ -91,11 +92,13 @@
 	}
 }
 
-// chooseShardOwners selects the oldest of the eligible daemons, this one if there are none.
+// chooseShardOwners selects the first of the eligible daemons, which are ordered by rank, or this one if there are none.
 func (s *State) chooseShardOwners(eligible []peer.Member) {
-	slices.SortFunc(eligible, compareAge)
 	var owners []string
-	for _, member := range eligible[:min(maxShardOwners, len(eligible))] {
+	for i, member := range eligible[:min(maxShardOwners, len(eligible))] {
+		if i >= minShardOwners && member.Capacity() < eligible[0].Capacity() {
+			break
+		}
 		owners = append(owners, member.Name())
 	}
 	if len(owners) == 0 {
--- /dev/null
+++ b/pkg/gateway/start_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// firstStart is a fleet with the engines of the largest known one and a few daemons.
+func firstStart() fleetSize {
+	size := largeFleet
+	size.daemons, size.callsPerSecond = 20, 100
+	return size
+}
+
+func TestFirstStart(t *testing.T) {
+	Convey("When 925 engines and their daemons start together", t, func() {
+		f := newFleet(firstStart(), benchTraffic)
+		f.run(benchTraffic)
+
+		Convey("most replicas are open at the first call, and all three seconds later", func() {
+			// The weight store starts 77 loads a second from 2.2 s on: 85 in 100 of those for 79 replicas have ended by then.
+			So(f.open(), ShouldBeGreaterThanOrEqualTo, 53)
+			f.run(benchTraffic + 3*time.Second)
+			So(f.open(), ShouldEqual, 79)
+		})
+
+		Convey("one daemon leads, one in each data centre reads the list, and all of them have most resources", func() {
+			var readers, centres []string
+			for _, d := range f.daemons {
+				So(d.members.leader, ShouldEqual, f.daemons[0].members.leader)
+				if d.watching {
+					readers, centres = append(readers, d.name), append(centres, d.settings.centre)
+				}
+			}
+			So(len(readers), ShouldEqual, f.size.centres)
+			So(len(slices.Compact(slices.Sorted(slices.Values(centres)))), ShouldEqual, f.size.centres)
+			for i, d := range f.daemons {
+				if d.watching || d.name == d.members.leader || slices.Contains(f.daemons[0].shardOwners, d.name) {
+					So(f.cores(i), ShouldEqual, 0.8)
+				}
+			}
+		})
+	})
+}
+
+func TestSilentLeader(t *testing.T) {
+	Convey("A leader that is silent while its connections stay open is replaced within four seconds", t, func() {
+		size := firstStart()
+		size.daemons, size.engines = 120, 111
+		f := newFleet(size, benchTraffic)
+		f.run(benchTraffic + time.Second)
+		old := f.byName[f.daemons[0].members.leader]
+		old.down = true
+		f.run(benchTraffic + 5*time.Second)
+		for _, d := range f.daemons {
+			if d != old {
+				So(d.members.leader, ShouldNotEqual, old.name)
+			}
+		}
+	})
+}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -35,7 +35,7 @@
 	listSync      listSync
 	random        *rand.Rand
 
-	addresses        []string
+	addresses        []Address
 	ready            bool
 	stopping         time.Time // when the shutdown began, zero if none
 	stoppedAccepting bool
@@ -99,6 +99,7 @@
 	s.reducePeer(now, peer.NewConfigured(peer.NewSettings(
 		settings.name, settings.peerAddress, settings.callerAddress, settings.centre, settings.seed).
 		WithSeeds(settings.seeds...).
+		WithCapacity(settings.capacity).
 		WithMaxBackoff(maxStoreBackoff).
 		WithReadersPerCentre(math.MaxInt).
 		WithDocuments(peer.NewDocumentSource(configDocument, settings.configKey, settings.revisionField))))
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -9,14 +9,16 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-// A few daemons, the readers, watch the platform's list of upstreams and send the changes to the others, since each call
+// A few daemons, the readers in each data centre, watch the platform's list of upstreams and send the changes to the others, since each call
 // to the store is billed. A daemon without a reader watches the list itself.
 
-// maxReaders is how many daemons read the list: one of them may fail while another one starts.
-const maxReaders = 3
+// minReaders is how many daemons read the list at least: one of them may fail while another one starts.
+const minReaders = 3
 
 // The times of messages about the list.
 const (
+	readerWatchInterval     = 150 * time.Millisecond  // at most seven calls per second by a reader; a repair takes two seconds
+	ownWatchInterval        = time.Second             // of a daemon that waits for a reader, as all do when they start together
 	listRequestInterval     = 400 * time.Millisecond  // a leaving upstream must get no new work after two seconds
 	subscriberTimeout       = 3 * time.Second         // a reader removes daemons that sent no request for this long
 	sourceTimeout           = 1200 * time.Millisecond // two replies may be lost
@@ -27,12 +29,16 @@
 // listSync is the state of a daemon as a reader of the list, and as a subscriber of another reader.
 type listSync struct {
 	watchesStore   bool                 // this daemon watches the list itself
+	watchInterval  time.Duration        // the minimum time between two reads of changes, 0 for no watch
 	start          uint64               // identifies this start of the daemon
 	revision       uint64               // of the last update sent
 	subscribers    map[string]time.Time // time of their last request
 	pendingChanged map[replica.ID]bool  // not sent yet
 	pendingGone    map[replica.ID]bool
 	updateSentAt   time.Time
+	changedIn      map[replica.ID]uint64 // revision of the last update that has the entry, by upstream
+	goneIn         map[replica.ID]uint64 // the same for entries that were removed
+	oldestRevision uint64                // the changes since then are known
 
 	source         string // the reader that this daemon subscribes to
 	sourceStart    uint64 // identifies the start of source
@@ -46,6 +52,18 @@
 	return listSync{
 		start: uint64(now.UnixNano()), subscribers: map[string]time.Time{},
 		pendingChanged: map[replica.ID]bool{}, pendingGone: map[replica.ID]bool{},
+		changedIn: map[replica.ID]uint64{}, goneIn: map[replica.ID]uint64{},
+	}
+}
+
+// maxRememberedGone limits how many removed entries a reader remembers for the subscribers that missed an update.
+const maxRememberedGone = 1024 // more than the largest known fleet loses within an update interval
+
+// forgetGone forgets all removed entries when there are too many. Subscribers that missed one get the complete list.
+func (l *listSync) forgetGone() {
+	if len(l.goneIn) > maxRememberedGone {
+		clear(l.goneIn)
+		l.oldestRevision = l.revision
 	}
 }
 
@@ -64,7 +82,14 @@
 // refreshListSync starts or stops the watch of the list, requests updates from the source and sends updates to
 // subscribers.
 func (s *State) refreshListSync(now time.Time) {
-	s.watchUpstreams(s.members.isReader || s.members.storeUnreachable || !s.hasSource(now))
+	switch {
+	case s.members.isReader:
+		s.watchUpstreams(readerWatchInterval)
+	case s.members.storeUnreachable || !s.hasSource(now):
+		s.watchUpstreams(ownWatchInterval)
+	default:
+		s.watchUpstreams(0)
+	}
 	s.watchConfig(now)
 	if !s.members.isReader {
 		s.requestList(now)
@@ -96,11 +121,11 @@
 	return s.listSync.synced && now.Sub(s.listSync.receivedAt) <= sourceTimeout
 }
 
-// watchUpstreams starts or stops the watch of the list.
-func (s *State) watchUpstreams(enabled bool) {
-	if s.listSync.watchesStore != enabled {
-		s.listSync.watchesStore = enabled
-		s.emit(WatchUpstreams{enabled})
+// watchUpstreams starts the watch of the list with an interval between two reads, or stops it if the interval is 0.
+func (s *State) watchUpstreams(interval time.Duration) {
+	if s.listSync.watchInterval != interval {
+		s.listSync.watchInterval, s.listSync.watchesStore = interval, interval > 0
+		s.emit(WatchUpstreams{interval})
 	}
 }
 
@@ -113,7 +138,7 @@
 	}
 	isLost := now.Sub(sync.receivedAt) > sourceTimeout
 	if !slices.Contains(s.members.readers, sync.source) || isLost && now.Sub(sync.requestedAt) >= minSourceSwitchInterval {
-		sync.source = s.members.readers[s.random.IntN(len(s.members.readers))]
+		sync.source = s.pickReader(isLost)
 		sync.sourceStart, sync.sourceRevision, sync.synced = 0, 0, false
 	}
 	sync.requestedAt = now
@@ -121,13 +146,30 @@
 		listMessage{isRequest: true, readerStart: sync.sourceStart, toRevision: sync.sourceRevision})
 }
 
+// pickReader returns a random reader in the own data centre. It returns any reader if there is none, or if the last one did
+// not reply.
+func (s *State) pickReader(isLost bool) string {
+	readers := s.members.nearReaders
+	if len(readers) == 0 || isLost && s.listSync.source != "" {
+		readers = s.members.readers
+	}
+	return readers[s.random.IntN(len(readers))]
+}
+
 func (s *State) sendListMessage(now time.Time, name string, message listMessage) {
+	s.sendListMessages(now, []string{name}, message)
+}
+
+// sendListMessages encodes a message once and sends it to several daemons.
+func (s *State) sendListMessages(now time.Time, names []string, message listMessage) {
 	data, err := message.encode()
 	if err != nil {
 		s.emit(Problem{"list message not encoded", err.Error()})
 		return
 	}
-	s.reducePeer(now, peer.NewDirectMessageRequested(name, listTopic, data))
+	for _, name := range names {
+		s.reducePeer(now, peer.NewDirectMessageRequested(name, listTopic, data))
+	}
 }
 
 // receiveListMessage handles a message of another daemon about the list.
@@ -146,34 +188,55 @@
 	}
 }
 
-// replyToSubscriber sends the complete list to a daemon unless it has the last update.
+// replyToSubscriber answers a request for updates of the list.
 func (s *State) replyToSubscriber(now time.Time, name string, request listMessage) {
 	sync := &s.listSync
 	if !s.listing.known || !sync.watchesStore {
 		return
 	}
 	sync.subscribers[name] = now
+	s.sendListMessage(now, name, s.listReply(request))
+}
+
+// listReply returns the changes since the last update that a subscriber has, or the complete list.
+func (s *State) listReply(request listMessage) listMessage {
+	sync := &s.listSync
 	reply := listMessage{
 		readerStart: sync.start, fromRevision: sync.revision, toRevision: sync.revision,
 		unavailable: s.listing.unavailable || s.members.storeUnreachable,
 	}
-	if request.readerStart != sync.start || request.toRevision != sync.revision {
-		reply.complete = true
-		for _, id := range slices.Sorted(maps.Keys(s.listing.entries)) {
+	since := request.toRevision
+	reply.complete = request.readerStart != sync.start || since < sync.oldestRevision || since > sync.revision
+	if !reply.complete {
+		reply.fromRevision = since
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.listing.entries)) {
+		if reply.complete || sync.changedIn[id] > since {
 			reply.changed = append(reply.changed, s.listing.entries[id])
 		}
 	}
-	s.sendListMessage(now, name, reply)
+	for _, id := range slices.Sorted(maps.Keys(sync.goneIn)) {
+		if !reply.complete && sync.goneIn[id] > since {
+			reply.gone = append(reply.gone, id)
+		}
+	}
+	return reply
 }
 
-// applyListUpdate applies an update of the source; if an earlier update was lost, it requests the complete list.
+// applyListUpdate applies an update of the source; if an earlier update was lost, it requests the changes since the last
+// one. Updates cross the replies to requests, so one may repeat changes that were applied already.
 func (s *State) applyListUpdate(now time.Time, update listMessage) {
 	sync := &s.listSync
-	if !update.complete && (update.readerStart != sync.sourceStart || update.fromRevision != sync.sourceRevision) {
+	isSameStart := update.readerStart == sync.sourceStart
+	if !update.complete && (!isSameStart || update.fromRevision > sync.sourceRevision) {
 		sync.requestedAt = now
-		s.sendListMessage(now, sync.source, listMessage{isRequest: true})
+		s.sendListMessage(now, sync.source,
+			listMessage{isRequest: true, readerStart: sync.sourceStart, toRevision: sync.sourceRevision})
 		return
 	}
+	if isSameStart && sync.synced && update.toRevision < sync.sourceRevision {
+		return // overtaken by a later update
+	}
 	sync.receivedAt, sync.sourceStart, sync.sourceRevision, sync.synced = now, update.readerStart, update.toRevision, true
 	if sync.watchesStore && !s.members.storeUnreachable && !update.complete {
 		return // this daemon's own watch of the list is newer
@@ -202,14 +265,23 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(sync.pendingChanged)) {
 		update.changed = append(update.changed, s.listing.entries[id])
+		sync.changedIn[id] = sync.revision
+		delete(sync.goneIn, id)
+	}
+	for _, id := range update.gone {
+		sync.goneIn[id] = sync.revision
+		delete(sync.changedIn, id)
 	}
+	sync.forgetGone()
 	clear(sync.pendingChanged)
 	clear(sync.pendingGone)
+	var names []string
 	for _, name := range slices.Sorted(maps.Keys(sync.subscribers)) {
 		if now.Sub(sync.subscribers[name]) > subscriberTimeout {
 			delete(sync.subscribers, name)
 			continue
 		}
-		s.sendListMessage(now, name, update)
+		names = append(names, name)
 	}
+	s.sendListMessages(now, names, update)
 }
--- /dev/null
+++ b/pkg/gateway/sync_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/replica"
+)
+
+// newReader returns a reader that has sent five updates: the first with a and b, the third with x, the fourth with c, and the
+// fifth without x.
+func newReader(now time.Time) *State {
+	var s State
+	s.start(now, NewSettings("reader", "c0", "1", 1))
+	s.watchUpstreams(readerWatchInterval)
+	updates := []Listed{
+		NewListed([]Upstream{entry("a"), entry("b")}), NewListChanges([]Upstream{entry("a")}, nil),
+		NewListChanges([]Upstream{entry("x")}, nil), NewListChanges([]Upstream{entry("c")}, nil),
+		NewListChanges(nil, []replica.ID{"x"}),
+	}
+	for i, update := range updates {
+		at := now.Add(time.Duration(i) * time.Second)
+		s.applyList(at, update)
+		s.sendListUpdates(at)
+	}
+	return &s
+}
+
+func changedIDs(message listMessage) []string {
+	var ids []string
+	for _, u := range message.changed {
+		ids = append(ids, string(u.instance.ID()))
+	}
+	return ids
+}
+
+func TestListReply(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	Convey("Given a reader of the list that has sent five updates", t, func() {
+		reader := newReader(now)
+		start := reader.listSync.start
+		request := func(start, revision uint64) listMessage {
+			return reader.listReply(listMessage{isRequest: true, readerStart: start, toRevision: revision})
+		}
+
+		Convey("a subscriber that missed updates gets only what changed since", func() {
+			reply := request(start, 2)
+			So(reply.complete, ShouldBeFalse)
+			So(changedIDs(reply), ShouldResemble, []string{"c"})
+			So(reply.gone, ShouldResemble, []replica.ID{"x"})
+			So([]uint64{reply.fromRevision, reply.toRevision}, ShouldResemble, []uint64{2, 5})
+		})
+
+		Convey("a subscriber that has all of them gets no entries", func() {
+			reply := request(start, 5)
+			So(reply.complete, ShouldBeFalse)
+			So(len(reply.changed)+len(reply.gone), ShouldEqual, 0)
+		})
+
+		Convey("a subscriber of another start of the reader, or of a time that is forgotten, gets the complete list", func() {
+			So(request(start-1, 5).complete, ShouldBeTrue)
+			for range maxRememberedGone + 1 {
+				reader.listSync.goneIn[replica.ID(time.Duration(len(reader.listSync.goneIn)).String())] = 5
+			}
+			reader.listSync.forgetGone()
+			reply := request(start, 4)
+			So(reply.complete, ShouldBeTrue)
+			So(changedIDs(reply), ShouldResemble, []string{"a", "b", "c"})
+			So(request(start, 5).complete, ShouldBeFalse)
+		})
+
+		Convey("a subscriber whose request crosses an update applies both, and asks again only after a gap", func() {
+			var s State
+			s.start(now, NewSettings("subscriber", "c0", "1", 2))
+			s.listSync.source = "reader"
+			s.applyListUpdate(now, request(0, 0))
+			So(s.listSync.sourceRevision, ShouldEqual, 5)
+			update := listMessage{readerStart: start, fromRevision: 5, toRevision: 6, changed: []Upstream{entry("d")}}
+			s.applyListUpdate(now, update)
+			crossing := listMessage{readerStart: start, fromRevision: 5, toRevision: 6, changed: []Upstream{entry("d")}}
+			s.applyListUpdate(now, crossing)
+			So(s.listSync.sourceRevision, ShouldEqual, 6)
+			So(len(s.listing.entries), ShouldEqual, 4)
+			s.applyListUpdate(now, listMessage{readerStart: start, fromRevision: 8, toRevision: 9, gone: []replica.ID{"d"}})
+			So(s.listSync.sourceRevision, ShouldEqual, 6)
+			s.applyListUpdate(now, listMessage{readerStart: start, fromRevision: 4, toRevision: 5, gone: []replica.ID{"d"}})
+			So(s.listing.entries, ShouldContainKey, replica.ID("d"))
+		})
+	})
+}
--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -221,8 +221,19 @@
 	s.confirmObservations(now, m)
 }
 
+// liveInterval is the time between two looks for members whose heartbeats have stopped, which expire after seconds.
+const liveInterval = 100 * time.Millisecond
+
+// refreshLiveIfDue recomputes the live members after a change or liveInterval.
+func (s *State) refreshLiveIfDue(now time.Time) {
+	if s.memberInfoChanged || now.Sub(s.liveRefreshedAt) >= liveInterval {
+		s.refreshLive(now)
+	}
+}
+
 // refreshLive recomputes the live members and emits Members when they changed.
 func (s *State) refreshLive(now time.Time) {
+	s.liveRefreshedAt = now
 	s.removeExpired(now)
 	live := make([]*member, 0, len(s.allMembers))
 	for _, m := range s.allMembers {
@@ -241,11 +252,15 @@
 }
 
 func (s *State) removeExpired(now time.Time) {
-	for _, m := range slices.Clone(s.allMembers) {
+	var expired []*member
+	for _, m := range s.allMembers {
 		if m != s.self && now.Sub(m.lastAcceptedAt) > memberRetention {
-			s.removeMember(m)
+			expired = append(expired, m)
 		}
 	}
+	for _, m := range expired {
+		s.removeMember(m)
+	}
 }
 
 func (s *State) isLive(m *member) bool {
@@ -260,7 +275,7 @@
 		if m == s.self || s.isFresh(now, m.heartbeatAt) {
 			members = append(members, Member{
 				name: m.name, address: m.address, callerAddress: m.callerAddress, centre: m.centre,
-				incarnation: m.incarnation, leaving: m.leaving,
+				incarnation: m.incarnation, leaving: m.leaving, capacity: m.capacity(),
 			})
 		}
 	}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -41,7 +41,7 @@
 	callerAddress string
 	centre        string
 	incarnation   uint64
-	infoVersion   uint64
+	infoVersion   uint64 // the capacity, and a number that increases with each change
 	leaving       bool
 	sequence      uint64
 	age           time.Duration
@@ -49,6 +49,11 @@
 	revision      uint64
 }
 
+// capacityShift is the position of the capacity in infoVersion, where daemons of earlier versions leave zeros.
+const capacityShift = 56
+
+func (i memberInfo) capacity() int { return int(i.infoVersion >> capacityShift) }
+
 // heartbeat states that a daemon was alive, and that every entry in that version of its report was still true, age ago.
 type heartbeat struct {
 	member        handle
--- a/pkg/peer/settings.go
+++ b/pkg/peer/settings.go
@@ -30,6 +30,7 @@
 	rereadInterval      time.Duration
 	maxBackoff          time.Duration
 	readersPerCentre    int
+	capacity            uint8
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre. It listens for peers on address and for
@@ -51,6 +52,13 @@
 	return s
 }
 
+// WithCapacity returns the settings with the class of the resources of the daemon's instance, 0 if unknown. A daemon of a
+// higher class can carry more work for the others.
+func (s Settings) WithCapacity(class uint8) Settings {
+	s.capacity = class
+	return s
+}
+
 // WithGossipInterval returns the settings with the gossip interval. The driver sends Ticked at least that often.
 func (s Settings) WithGossipInterval(interval time.Duration) Settings {
 	s.gossipInterval = interval
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -44,6 +44,7 @@
 	listedUpstreams   []*upstream
 	watchersStale     bool // the assignment of watchers has to be recomputed
 	memberInfoChanged bool // of a live member
+	liveRefreshedAt   time.Time
 
 	documents          map[string]Document
 	trackedDocuments   []*trackedDocument // in the order of the settings, the configuration first
@@ -161,7 +162,7 @@
 	incarnation := uint64(max(1, now.UnixMilli()))
 	s.self = s.addMember(memberInfo{
 		name: settings.name, address: settings.address, callerAddress: settings.callerAddress, centre: settings.centre,
-		incarnation: incarnation, infoVersion: 1,
+		incarnation: incarnation, infoVersion: uint64(settings.capacity)<<capacityShift | 1,
 	})
 	s.makeHeartbeat(now)
 	s.refreshLive(now)
@@ -197,7 +198,7 @@
 
 // tick does all periodic work that is due.
 func (s *State) tick(now time.Time) {
-	s.refreshLive(now)
+	s.refreshLiveIfDue(now)
 	s.assignWatches(now)
 	if !now.Before(s.nextHeartbeat) {
 		s.makeHeartbeat(now)
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -10,6 +10,7 @@
 	centre        string
 	incarnation   uint64
 	leaving       bool
+	capacity      int
 }
 
 // Name returns the name of the daemon.
@@ -27,6 +28,9 @@
 // Incarnation returns the incarnation number of the daemon, which increases with each start.
 func (m Member) Incarnation() uint64 { return m.incarnation }
 
+// Capacity returns the class of the resources of the daemon's instance, 0 if unknown.
+func (m Member) Capacity() int { return m.capacity }
+
 // Leaving reports whether the daemon is about to stop.
 func (m Member) Leaving() bool { return m.leaving }
 
--- a/pkg/replica/heads.go
+++ b/pkg/replica/heads.go
@@ -52,33 +52,34 @@
 // updateHeads determines which replicas are complete and open. A replica is complete if each member is listed, alive, not
 // leaving, and reports membership in the same epoch of the replica.
 func (s *State) updateHeads() {
-	ranks, domains := map[replicaEpoch]map[int]bool{}, map[replicaEpoch]string{}
-	crossDomain := map[replicaEpoch]bool{}
-	for _, n := range s.nodes {
+	available := map[replicaEpoch]*availableMembers{}
+	var candidates []*node
+	for _, id := range s.ids() {
+		n := s.nodes[id]
 		if !n.isAlive() || n.leaving || n.membership.phase != PhaseReady && n.membership.phase != PhaseOpen {
 			continue
 		}
 		key := n.membership.replicaEpoch()
-		if ranks[key] == nil {
-			ranks[key], domains[key] = map[int]bool{}, n.domain
+		members := available[key]
+		if members == nil {
+			members = &availableMembers{domain: n.domain}
+			available[key] = members
+		}
+		members.add(n)
+		if n.membership.phase == PhaseOpen && n.membership.rank == 0 {
+			candidates = append(candidates, n)
 		}
-		crossDomain[key] = crossDomain[key] || domains[key] != n.domain
-		ranks[key][n.membership.rank] = true
 	}
 	heads := map[string][]Head{}
-	for _, id := range s.ids() {
-		n := s.nodes[id]
-		if !n.isAlive() || n.leaving || n.membership.phase != PhaseOpen || n.membership.rank != 0 {
-			continue
-		}
+	for _, n := range candidates {
 		model, isKnown := s.engine.Model(n.loadedModel)
-		if !isKnown || len(ranks[n.membership.replicaEpoch()]) != model.ReplicaSize() {
+		members := available[n.membership.replicaEpoch()]
+		if !isKnown || len(members.ranks) != model.ReplicaSize() {
 			continue
 		}
 		heads[n.loadedModel] = append(heads[n.loadedModel],
 			Head{
-				id, n.address, n.centre, n.membership.replica, n.membership.epoch, n.loadedModel,
-				crossDomain[n.membership.replicaEpoch()],
+				n.id, n.address, n.centre, n.membership.replica, n.membership.epoch, n.loadedModel, members.crossDomain,
 			})
 	}
 	if !sameHeads(s.heads, heads) {
@@ -87,6 +88,20 @@
 	}
 }
 
+// availableMembers are the members of a replica that are alive, not leaving, and ready or open.
+type availableMembers struct {
+	ranks       []int // distinct
+	domain      string
+	crossDomain bool
+}
+
+func (m *availableMembers) add(n *node) {
+	m.crossDomain = m.crossDomain || m.domain != n.domain
+	if !slices.Contains(m.ranks, n.membership.rank) {
+		m.ranks = append(m.ranks, n.membership.rank)
+	}
+}
+
 func sameHeads(a, b map[string][]Head) bool {
 	if len(a) != len(b) {
 		return false
