gateway: Follow no leader after a freeze until peers are known

A resumed daemon closes its links, took each closed link for a lost peer, and heard of the leader only when that happened to send it gossip. Change: a resumed daemon stops leading and waits like one that has just started; links that it closes itself say nothing of its peers. Test: nine of 73 daemons freeze; none of them leads, and all follow the leader afterwards (failed before).

--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -14,7 +14,9 @@
 	case peer.Received:
 		s.members.hear(now, e.From())
 	case peer.LinkClosed:
-		s.members.disconnected[e.Name()] = true
+		if now.Sub(s.members.resumedAt) >= linkResetTime {
+			s.members.disconnected[e.Name()] = true
+		}
 	}
 	for _, effect := range s.peer.Reduce(now, e) {
 		s.handlePeerEffect(now, effect)
@@ -37,7 +39,10 @@
 	case peer.Members:
 		s.members.live = effect.Members()
 		slices.SortFunc(s.members.live, compareRank)
-	case peer.Send, peer.ResetLinks, peer.StopWatches:
+	case peer.ResetLinks:
+		s.resume(now)
+		s.emit(PeerEffect{effect})
+	case peer.Send, peer.StopWatches:
 		s.emit(PeerEffect{effect})
 	}
 }
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -253,8 +253,11 @@
 			f.after(fleetStoreDelay, func() { f.feed(d, NewListed(f.listed())) })
 		}
 	case PeerEffect:
-		if send, isSend := effect.Effect().(peer.Send); isSend {
-			f.send(d, send)
+		switch effect := effect.Effect().(type) {
+		case peer.Send:
+			f.send(d, effect)
+		case peer.ResetLinks:
+			f.closeLinks(d)
 		}
 	case ReplicaEffect:
 		f.applyReplica(d, effect.Effect())
@@ -293,6 +296,26 @@
 	})
 }
 
+// closeLinks closes the links of a daemon and tells both ends.
+func (f *fleet) closeLinks(d *fleetDaemon) {
+	for _, other := range f.daemons {
+		pair := [2]string{min(d.name, other.name), max(d.name, other.name)}
+		if f.linked[pair] {
+			delete(f.linked, pair)
+			f.after(0, func() {
+				f.feed(d, NewPeerEvent(peer.NewLinkClosed(other.name, other.address)))
+				f.feed(other, NewPeerEvent(peer.NewLinkClosed(d.name, d.address)))
+			})
+		}
+	}
+}
+
+// freeze suspends a daemon, which receives nothing meanwhile.
+func (f *fleet) freeze(d *fleetDaemon, duration time.Duration) {
+	d.down = true
+	f.after(duration, func() { d.down = false })
+}
+
 func (f *fleet) callStore(d *fleetDaemon, effect Store) {
 	request := effect.Request()
 	key, ref := request.Key().String(), request.Ref()
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -23,7 +23,8 @@
 	deadFactTTL         = 5 * time.Second         // the list contains a dead instance for three heartbeats
 	minHeartbeatTimeout = 2500 * time.Millisecond // a heartbeat advances by one daemon in each gossip interval
 	maxMissedHeartbeats = 3                       // heartbeats are less frequent in a large fleet
-	minLeaderUptime     = 1500 * time.Millisecond // peers connect within a second of their start
+	minLeaderUptime     = 1500 * time.Millisecond // peers connect within a second of their start, or of the end of a freeze
+	linkResetTime       = 500 * time.Millisecond  // links that this daemon closes after a freeze say nothing of its peers
 	startupFactTTL      = 2 * time.Second         // a daemon that has just started must not lead yet
 	leaderStableWindow  = 400 * time.Millisecond  // membership views differ for one or two gossip intervals
 	budgetPeerTTL       = 15 * time.Second        // 1.5 windows of the retry budget
@@ -32,7 +33,7 @@
 // members is the membership view by which the leader, the readers of the list and the advertised addresses are chosen.
 type members struct {
 	self             string
-	startedAt        time.Time
+	resumedAt        time.Time // start, or end of the last freeze
 	live             []peer.Member        // by rank
 	disconnected     map[string]bool      // the link closed and nothing was received since
 	heardAt          map[string]time.Time // when a message of a peer last arrived
@@ -56,7 +57,7 @@
 
 func newMembers(now time.Time, self string) members {
 	return members{
-		self: self, startedAt: now,
+		self: self, resumedAt: now,
 		disconnected: map[string]bool{}, outages: map[string]outage{}, heardAt: map[string]time.Time{},
 		unresponsive:     map[string]bool{},
 		budgetPeerSeenAt: map[string]time.Time{},
@@ -111,6 +112,20 @@
 	}
 }
 
+// resume handles the end of a freeze of this process. Until it knows its peers again, it follows no leader and does not lead.
+func (s *State) resume(now time.Time) {
+	m := &s.members
+	m.resumedAt, m.refreshedAt = now, time.Time{}
+	clear(m.disconnected)
+	m.candidate, m.candidateSince = "", now
+	if m.leader == "" {
+		return
+	}
+	m.leader, m.unansweredSince = "", time.Time{}
+	s.emit(LeaderChanged{false, ""})
+	s.reduceReplica(now, replica.NewLeadershipChanged(false))
+}
+
 // The access of a daemon to the store.
 const (
 	accessFull       = byte(iota)
@@ -142,7 +157,7 @@
 // rankMembers returns the daemons that are known to reach the store, those with the most resources first. All daemons agree
 // on this order, and a restarted daemon replaces no running one of its class.
 func (s *State) rankMembers(now time.Time, fresh []peer.Member) []peer.Member {
-	isEligible := s.stopping.IsZero() && !s.members.storeUnreachable && now.Sub(s.members.startedAt) >= minLeaderUptime
+	isEligible := s.stopping.IsZero() && !s.members.storeUnreachable && now.Sub(s.members.resumedAt) >= minLeaderUptime
 	return slices.DeleteFunc(s.withOwn(fresh), func(member peer.Member) bool {
 		if member.Name() == s.members.self {
 			return !isEligible
--- a/pkg/gateway/start_test.go
+++ b/pkg/gateway/start_test.go
@@ -46,6 +46,32 @@
 	})
 }
 
+func TestResumedDaemons(t *testing.T) {
+	Convey("Daemons that were frozen follow the leader once they resume, and never lead beside it", t, func() {
+		size := firstStart()
+		size.daemons, size.engines = 73, 111
+		f := newFleet(size, benchTraffic)
+		f.run(benchTraffic + time.Second)
+		leader := f.daemons[0].members.leader
+		var frozen []*fleetDaemon
+		for _, d := range f.daemons {
+			if d.name != leader && len(frozen) < 9 {
+				f.freeze(d, 4300*time.Millisecond)
+				frozen = append(frozen, d)
+			}
+		}
+		for step := range 40 {
+			f.run(benchTraffic + 5*time.Second + time.Duration(step)*250*time.Millisecond)
+			for _, d := range frozen {
+				So(d.members.leader, ShouldNotEqual, d.name)
+			}
+		}
+		for _, d := range frozen {
+			So(d.members.leader, ShouldEqual, leader)
+		}
+	})
+}
+
 func TestSilentLeader(t *testing.T) {
 	Convey("A leader that is silent while its connections stay open is replaced within four seconds", t, func() {
 		size := firstStart()
