dispatch, replica: Refuse calls at once while no replica of their model can open in time

Load pattern: no replica of a model is open. Calls that cannot wait so long are refused at once and told to return when one is open, spread over half a second; the others wait as before.

--- a/internal/gateway/trace_test.go
+++ b/internal/gateway/trace_test.go
@@ -21,9 +21,10 @@
 // fakeTargets are the targets that dispatch can send requests to.
 type fakeTargets struct{ all []dispatch.Target }
 
-func (f fakeTargets) Replicas(string) []dispatch.Target  { return f.all }
-func (f fakeTargets) Processes(string) []dispatch.Target { return f.all }
-func (f fakeTargets) Owner(dispatch.Shard) string        { return "" }
+func (f fakeTargets) Replicas(string) []dispatch.Target             { return f.all }
+func (f fakeTargets) Processes(string) []dispatch.Target            { return f.all }
+func (f fakeTargets) NextOpening(now time.Time, _ string) time.Time { return now }
+func (f fakeTargets) Owner(dispatch.Shard) string                   { return "" }
 
 // logSession runs the dispatch state machine and captures its log lines.
 type logSession struct {
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -91,6 +91,9 @@
 func (v daemonView) Processes(string) []Target { return nil }
 
 // Owner returns the daemon that the number of the shard selects, "" if that is this one.
+// NextOpening returns now: a replica may open at any time.
+func (v daemonView) NextOpening(now time.Time, _ string) time.Time { return now }
+
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
 	if owner == v.self {
--- a/pkg/dispatch/golden_test.go
+++ b/pkg/dispatch/golden_test.go
@@ -43,9 +43,11 @@
 	owner   string
 }
 
-func (p *player) Replicas(string) []Target  { return p.targets }
-func (p *player) Processes(string) []Target { return p.targets }
-func (p *player) Owner(Shard) string        { return p.owner }
+func (p *player) Replicas(string) []Target                      { return p.targets }
+func (p *player) Processes(string) []Target                     { return p.targets }
+func (p *player) NextOpening(now time.Time, _ string) time.Time { return now }
+
+func (p *player) Owner(Shard) string { return p.owner }
 
 // event returns the event of one line, nil for a line that only changes the environment.
 func (p *player) event(words []string) Event {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -36,6 +36,10 @@
 		s.giveUp(now, c, NoUpstream, s.retryAfter(now, up, c))
 		return
 	}
+	if s.opensTooLate(now, up, c) {
+		s.giveUp(now, c, NoUpstream, s.openingRetryAfter(now, up, c))
+		return
+	}
 	s.enqueue(now, up, c, upstreams)
 	if isFound {
 		s.serveQueue(now, up)
@@ -56,6 +60,25 @@
 	return model.Name() != ""
 }
 
+// opensTooLate reports whether no replica of a call's model is open, and none will be within the time that the call may wait.
+func (s *State) opensTooLate(now time.Time, up Upstreams, c *call) bool {
+	return s.isModelCall(c) && s.mayAppear(c) && len(s.targets(up, c)) == 0 &&
+		up.NextOpening(now, c.model).After(s.waitDeadline(c))
+}
+
+// openingRetryAfter returns the Retry-After time of a call that was refused until a replica opens. Jitter spreads the callers
+// that return over the time in which its slots are filled.
+func (s *State) openingRetryAfter(now time.Time, up Upstreams, c *call) time.Duration {
+	wait := up.NextOpening(now, c.model).Sub(now) + time.Duration(s.random.Float64()*float64(openingSpread))
+	return min(wait, time.Duration(maxOpeningRetryRatio*float64(c.deadline.Sub(now))))
+}
+
+// The Retry-After times of calls that were refused until a replica opens.
+const (
+	openingSpread        = 500 * time.Millisecond // a replica reads the prompts of a few dozen calls in that time
+	maxOpeningRetryRatio = 0.33                   // of the time left to the caller; callers respect no longer ones
+)
+
 // choose returns an upstream with room for a call, and the number of untried upstreams, with room or without.
 func (s *State) choose(now time.Time, up Upstreams, c *call) (best candidate, untried int, isFound bool) {
 	var candidates []candidate
--- a/pkg/dispatch/queue_test.go
+++ b/pkg/dispatch/queue_test.go
@@ -51,6 +51,40 @@
 	})
 }
 
+func TestNoReplicaOpen(t *testing.T) {
+	Convey("While no replica of a model is open", t, func() {
+		sim := newSimulation(1, 1)
+		targets := sim.targets
+		sim.targets = nil
+
+		Convey("calls are refused at once if none opens within the time that they may wait, and return when one is open", func() {
+			sim.opensAt = sim.now.Add(1900 * time.Millisecond)
+			returned := ID(0)
+			for id := range ID(replicaSlotCount) {
+				sim.arrive(id+1, "large", "/draft/x")
+				So(sim.refused[id+1], ShouldBeTrue)
+				So(sim.retryAfter[id+1], ShouldBeBetweenOrEqual, 1900*time.Millisecond, callTimeout/3)
+				sim.after(sim.retryAfter[id+1], func() {
+					returned++
+					sim.arrive(100+returned, "large", "/draft/x")
+				})
+			}
+			sim.after(1900*time.Millisecond, func() { sim.targets, sim.opensAt = targets, time.Time{} })
+			sim.run(5 * time.Second)
+			So(len(sim.firstEvent), ShouldEqual, replicaSlotCount)
+		})
+
+		Convey("calls wait if one opens soon enough", func() {
+			sim.opensAt = sim.now.Add(time.Second)
+			sim.arrive(1, "large", "/draft/x")
+			sim.after(time.Second, func() { sim.targets = targets })
+			sim.run(3 * time.Second)
+			So(sim.refused[1], ShouldBeFalse)
+			So(sim.firstEvent, ShouldContainKey, ID(1))
+		})
+	})
+}
+
 func TestFloodingOrganisation(t *testing.T) {
 	flood := func(fifo bool) *simulation {
 		sim := newSimulation(4, 1)
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -35,6 +35,8 @@
 	sends        map[ID]int
 	running      map[AttemptID]Send
 	timers       []timer
+	opensAt      time.Time // when the next replica opens, zero for now
+	retryAfter   map[ID]time.Duration
 	failWith     func(Send) Failure // returns the failure of an attempt, NoFailure for success
 }
 
@@ -47,7 +49,7 @@
 	sim := &simulation{
 		now: epoch, runningCalls: map[string]int{}, firstEvent: map[ID]time.Duration{}, arrived: map[ID]time.Time{},
 		organisation: map[ID]string{}, refused: map[ID]bool{}, failed: map[ID]Reason{}, forwarded: map[ID]bool{}, sends: map[ID]int{}, running: map[AttemptID]Send{},
-		failWith: func(Send) Failure { return NoFailure },
+		failWith: func(Send) Failure { return NoFailure }, retryAfter: map[ID]time.Duration{},
 	}
 	for i := range replicas {
 		sim.targets = append(sim.targets, NewTarget(fmt.Sprintf("h%d", i), fmt.Sprintf("10.0.0.%d:1", i), true, replicaSlotCount))
@@ -78,6 +80,14 @@
 // Processes returns the same upstreams for a plain service.
 func (sim *simulation) Processes(string) []Target { return sim.targets }
 
+// NextOpening returns when a replica opens.
+func (sim *simulation) NextOpening(now time.Time, _ string) time.Time {
+	if sim.opensAt.After(now) {
+		return sim.opensAt
+	}
+	return now
+}
+
 // Owner returns "", which stands for the daemon itself.
 func (sim *simulation) Owner(Shard) string { return "" }
 
@@ -106,6 +116,7 @@
 		sim.after(time.Millisecond, func() { sim.feed(NewFailed(effect.Attempt(), Halted)) })
 	case Refuse:
 		sim.refused[effect.ID()] = true
+		sim.retryAfter[effect.ID()] = effect.RetryAfter()
 	case ForwardFailure:
 		sim.forwarded[effect.ID()] = true
 	case Fail:
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -43,6 +43,8 @@
 type Upstreams interface {
 	// Replicas returns the heads of the replicas that serve a model. The head is the member that accepts requests.
 	Replicas(model string) []Target
+	// NextOpening returns when the next replica of a model may open at the earliest, which may have passed.
+	NextOpening(now time.Time, model string) time.Time
 	// Processes returns the upstreams of a plain service.
 	Processes(service string) []Target
 	// Owner returns the daemon that grants the slots of a shard, empty for this one.
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -33,7 +33,7 @@
 // members is the membership view by which the leader, the readers of the list and the advertised addresses are chosen.
 type members struct {
 	self             string
-	resumedAt        time.Time // start, or end of the last freeze
+	resumedAt        time.Time            // start, or end of the last freeze
 	live             []peer.Member        // by rank
 	disconnected     map[string]bool      // the link closed and nothing was received since
 	heardAt          map[string]time.Time // when a message of a peer last arrived
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -255,6 +255,11 @@
 	return targets
 }
 
+// NextOpening returns when the next replica of a model may open at the earliest.
+func (s *State) NextOpening(now time.Time, model string) time.Time {
+	return s.replica.NextOpening(now, model)
+}
+
 // Processes returns the upstreams of a plain service.
 func (s *State) Processes(service string) []dispatch.Target {
 	var targets []dispatch.Target
