dispatch: Serve calls that can be on time in a lasting overload, and refuse the others early

Load pattern: lasting overload. A late call in a slot makes the next one late too. Change: the owner of a shard compares the calls offered that can be on time with the slots granted; once they exceed them for a second, late calls are denied and a call is queued only if it can get a slot in time. Organisations that are underserved are exempt as before.

--- a/pkg/dispatch/backlog_test.go
+++ b/pkg/dispatch/backlog_test.go
@@ -18,6 +18,34 @@
 	return cl
 }
 
+// overload simulates calls at 1.8 times the capacity of the replicas for 15 s at many daemons.
+
+func overload(withoutLimit bool) *cluster {
+	cl := newCluster(16, 8, false)
+	for _, daemon := range cl.daemons {
+		daemon.withoutOverloadLimit = withoutLimit
+	}
+	cl.arrivals(2*capacity*0.6, 3*time.Second, 1)
+	cl.after(3*time.Second, func() { cl.arrivals(2*capacity*1.8, 15*time.Second, 2) })
+	cl.run(26 * time.Second)
+	return cl
+}
+
+func TestLastingOverload(t *testing.T) {
+	Convey("In an overload that lasts, slots go to calls that can be on time, and the others are refused early", t, func() {
+		before, now := overload(true), overload(false)
+		onTimeBefore, servedBefore := before.onTime()
+		onTime, served := now.onTime()
+		// An offline schedule serves the arrivals of 3 s, and the capacity of the next 15 s.
+		bound := (0.6*3 + 15) / (0.6*3 + 1.8*15)
+		Printf("\non time: %.3f before, %.3f now, at most %.3f; served %.3f, %.3f; refused after %v, %v\n",
+			onTimeBefore, onTime, bound, servedBefore, served, before.meanRefusal(), now.meanRefusal())
+		So(onTime, ShouldBeGreaterThan, 0.8*bound)
+		So(onTime, ShouldBeGreaterThan, onTimeBefore)
+		So(now.meanRefusal(), ShouldBeLessThan, callGoal)
+	})
+}
+
 func TestBacklog(t *testing.T) {
 	Convey("Calls meet their goal again after a burst left a backlog in the replicas", t, func() {
 		baseline, withSlots := backlog(true), backlog(false)
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -40,6 +40,7 @@
 	firstEvent   time.Duration // time to the first event, 0 for none
 	isRefused    bool
 	retryAfter   time.Duration
+	refusedAfter time.Duration
 	reason       Reason
 	contentHash  uint64
 	attempt      AttemptID
@@ -121,6 +122,7 @@
 		case Refuse:
 			c := cl.calls[effect.ID()]
 			c.isRefused, c.retryAfter, c.reason = true, effect.RetryAfter(), effect.Reason()
+			c.refusedAfter = cl.now.Sub(c.arrived)
 		case ReportCrash:
 			cl.deliver(strconv.Itoa(int(effect.ContentHash()%uint64(len(cl.daemons)))),
 				NewCrashReported(effect.ContentHash(), effect.Upstream()))
@@ -251,6 +253,18 @@
 	}
 }
 
+// meanRefusal returns the mean time after which calls were refused.
+func (cl *cluster) meanRefusal() time.Duration {
+	var total, count time.Duration
+	for _, c := range cl.calls {
+		if c.isRefused {
+			total += c.refusedAfter
+			count++
+		}
+	}
+	return total / max(count, 1)
+}
+
 // onTime returns the fraction of the calls whose first event met the goal, and the fraction that had a first event at
 // all.
 func (cl *cluster) onTime() (good, served float64) {
--- /dev/null
+++ b/pkg/dispatch/overload.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "time"
+
+// Lasting overload: more calls that can be on time arrive than slots become free. A slot for a call that is late already makes
+// another call late then, so late calls are denied, and a call is only queued if it can get a slot in time. In a short burst,
+// late calls wait for the slots that are free after it.
+
+// The rates by which a shard counts as overloaded.
+const (
+	overloadRatio   = 1.1 // of offered calls to granted slots; the averages differ by some percent while all are granted
+	minOverloadRate = 4.0 // offered calls per second; fewer than eight of them in the averaging time say little
+)
+
+// overloadDelay is how long more calls must be offered than slots are granted until an overload counts as lasting.
+const overloadDelay = time.Second // slots turn over within one or two seconds
+
+// countOffer counts a call that can be on time, when it gets a slot or asks to wait for one.
+func (t *slotTable) countOffer(now time.Time, w slotWaiter) {
+	if w.onTimeWait > 0 {
+		t.offeredRate.add(now)
+	}
+	if !t.offersExceedGrants(now) {
+		t.balancedAt = now
+	}
+}
+
+// offersExceedGrants reports whether more calls that could be on time were offered recently than slots were granted.
+func (t *slotTable) offersExceedGrants(now time.Time) bool {
+	offered := t.offeredRate.perSecond(now)
+	return offered >= minOverloadRate && offered > overloadRatio*t.grantedRate.perSecond(now)
+}
+
+// isOverloaded reports whether the overload of a shard lasts.
+func (s *State) isOverloaded(now time.Time, t *slotTable) bool {
+	return !s.withoutOverloadLimit && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
+}
+
+// longestWait returns how long a call may be expected to wait for a slot.
+func (s *State) longestWait(now time.Time, t *slotTable, w slotWaiter) time.Duration {
+	if s.isOverloaded(now, t) && !t.isUnderserved(now, w.organisation) {
+		return min(w.onTimeWait, w.maxWait)
+	}
+	return w.maxWait
+}
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -20,6 +20,9 @@
 	waiters     []slotWaiter     // requests that wait for a slot
 	grantRates  map[string]*rate // of granted slots, by organisation
 	releaseRate rate             // of slots that became free
+	grantedRate rate             // of slots granted
+	balancedAt  time.Time        // when no more calls were offered than granted last
+	offeredRate rate             // of calls that could be on time when they asked for a slot
 	lastSlack   time.Time        // when slots last sufficed for calls that can no longer meet their goal
 }
 
@@ -102,12 +105,16 @@
 	if len(table.waiters) == 0 {
 		table.lastSlack = now
 		if target, isFree := s.bestReplica(now, up, request); isFree {
+			table.countOffer(now, waiter)
 			return s.grantSlot(now, up, table, waiter, target)
 		}
 	}
-	if request.maxWait > 0 && len(table.waiters) < maxSlotWaiters &&
-		!table.isUnservable(now, waiter) &&
-		table.expectedWait(now, waiter) <= request.maxWait {
+	if request.maxWait == 0 {
+		return reply
+	}
+	table.countOffer(now, waiter)
+	if len(table.waiters) < maxSlotWaiters && !s.isUnservable(now, table, waiter) &&
+		table.expectedWait(now, waiter) <= s.longestWait(now, table, waiter) {
 		table.waiters = append(table.waiters, waiter)
 		reply.status = SlotQueued
 	}
@@ -150,6 +157,7 @@
 	replica.daemons[w.daemon] = daemonCalls{replica.daemons[w.daemon].calls + 1, now}
 	replica.pendingPrefillTokens += float64(w.promptTokens)
 	replica.startProbe(now)
+	table.grantedRate.add(now)
 	table.countGrant(now, w.organisation)
 	return SlotReply{
 		requestID: w.requestID, status: SlotGranted,
@@ -181,8 +189,9 @@
 
 // isUnservable reports whether a call can no longer meet its goal and all slots go to calls that can. A call of an
 // underserved organisation is never unservable.
-func (t *slotTable) isUnservable(now time.Time, w slotWaiter) bool {
-	return !t.isUnderserved(now, w.organisation) && w.isLate(now) && now.Sub(t.lastSlack) > slackWindow
+func (s *State) isUnservable(now time.Time, t *slotTable, w slotWaiter) bool {
+	return !t.isUnderserved(now, w.organisation) && w.isLate(now) &&
+		(now.Sub(t.lastSlack) > slackWindow || s.isOverloaded(now, t))
 }
 
 // expectedWait returns the expected wait of a call behind those ahead of it, at the rate at which slots become free.
@@ -241,7 +250,7 @@
 func (s *State) denyUnservable(now time.Time, up Upstreams, table *slotTable) {
 	var denied []slotWaiter
 	table.waiters = slices.DeleteFunc(table.waiters, func(w slotWaiter) bool {
-		isUnservable := table.isUnservable(now, w)
+		isUnservable := s.isUnservable(now, table, w)
 		if isUnservable {
 			denied = append(denied, w)
 		}
