dispatch: Give the next slot to the youngest call while an overload lasts

Change: among calls that can be on time, the youngest goes first while the overload lasts; urgency and organisations come before age as ever.

--- a/pkg/dispatch/overload.go
+++ b/pkg/dispatch/overload.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Lasting overload: more calls that can be on time arrive than slots become free. A slot for a call that is late already makes
-// another call late then, so late calls are denied, and a call is only queued if it can get a slot in time. In a short burst,
-// late calls wait for the slots that are free after it.
+// another call late then, so late calls are denied, a call is only queued if it can get a slot in time, and the youngest call
+// gets the next slot. In a short burst, late calls wait for the slots that are free after it.
 
 // The rates by which a shard counts as overloaded.
 const (
@@ -32,13 +32,13 @@
 }
 
 // isOverloaded reports whether the overload of a shard lasts.
-func (s *State) isOverloaded(now time.Time, t *slotTable) bool {
-	return !s.withoutOverloadLimit && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
+func (t *slotTable) isOverloaded(now time.Time) bool {
+	return !t.noOverload && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
 }
 
 // longestWait returns how long a call may be expected to wait for a slot.
-func (s *State) longestWait(now time.Time, t *slotTable, w slotWaiter) time.Duration {
-	if s.isOverloaded(now, t) && !t.isUnderserved(now, w.organisation) {
+func (t *slotTable) longestWait(now time.Time, w slotWaiter) time.Duration {
+	if t.isOverloaded(now) && !t.isUnderserved(now, w.organisation) {
 		return min(w.onTimeWait, w.maxWait)
 	}
 	return w.maxWait
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -21,6 +21,7 @@
 	grantRates  map[string]*rate // of granted slots, by organisation
 	releaseRate rate             // of slots that became free
 	grantedRate rate             // of slots granted
+	noOverload  bool             // the limit of an overload is disabled, for comparison in tests
 	balancedAt  time.Time        // when no more calls were offered than granted last
 	offeredRate rate             // of calls that could be on time when they asked for a slot
 	lastSlack   time.Time        // when slots last sufficed for calls that can no longer meet their goal
@@ -52,7 +53,7 @@
 func (s *State) slotTable(shard Shard) *slotTable {
 	t := s.slotTables[shard]
 	if t == nil {
-		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}}
+		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, noOverload: s.withoutOverloadLimit}
 		s.slotTables[shard] = t
 	}
 	return t
@@ -113,8 +114,8 @@
 		return reply
 	}
 	table.countOffer(now, waiter)
-	if len(table.waiters) < maxSlotWaiters && !s.isUnservable(now, table, waiter) &&
-		table.expectedWait(now, waiter) <= s.longestWait(now, table, waiter) {
+	if len(table.waiters) < maxSlotWaiters && !table.isUnservable(now, waiter) &&
+		table.expectedWait(now, waiter) <= table.longestWait(now, waiter) {
 		table.waiters = append(table.waiters, waiter)
 		reply.status = SlotQueued
 	}
@@ -189,9 +190,9 @@
 
 // isUnservable reports whether a call can no longer meet its goal and all slots go to calls that can. A call of an
 // underserved organisation is never unservable.
-func (s *State) isUnservable(now time.Time, t *slotTable, w slotWaiter) bool {
+func (t *slotTable) isUnservable(now time.Time, w slotWaiter) bool {
 	return !t.isUnderserved(now, w.organisation) && w.isLate(now) &&
-		(now.Sub(t.lastSlack) > slackWindow || s.isOverloaded(now, t))
+		(now.Sub(t.lastSlack) > slackWindow || t.isOverloaded(now))
 }
 
 // expectedWait returns the expected wait of a call behind those ahead of it, at the rate at which slots become free.
@@ -211,14 +212,19 @@
 
 // compare orders waiting requests: first those of underserved organisations, then those that can still meet their
 // latency goal, those of a more urgent priority, those of organisations with fewer slots granted recently, and the
-// older ones.
+// older ones. While the overload of the shard lasts, the younger ones come first: in order of arrival, all would wait until
+// they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
+	byAge := a.queuedAt.Compare(b.queuedAt)
+	if t.isOverloaded(now) {
+		byAge = -byAge
+	}
 	return cmp.Or(
 		cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation))),
 		cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now))),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(t.grantRate(now, a.organisation), t.grantRate(now, b.organisation)),
-		a.queuedAt.Compare(b.queuedAt),
+		byAge,
 	)
 }
 
@@ -250,7 +256,7 @@
 func (s *State) denyUnservable(now time.Time, up Upstreams, table *slotTable) {
 	var denied []slotWaiter
 	table.waiters = slices.DeleteFunc(table.waiters, func(w slotWaiter) bool {
-		isUnservable := s.isUnservable(now, table, w)
+		isUnservable := table.isUnservable(now, w)
 		if isUnservable {
 			denied = append(denied, w)
 		}
