replica: Form replicas before the list is still in large fleets only

Replicas formed before all engines of a domain of eight are listed leave remainders that no large replica fits into.

--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -13,10 +13,14 @@
 const rejoinTime = 200 * time.Millisecond // the platform's figure
 
 // settleTime is how long no new instance must have been listed before the plan counts on what is listed. Instances that
-// start together are listed within one heartbeat of each other. Until then, only the model under the highest pressure gets
-// new replicas: others would take the instances that its next replica still waits for.
+// start together are listed within one heartbeat of each other. Replicas formed before all instances of a domain are listed
+// leave remainders in it that no other replica fits into.
 const settleTime = 700 * time.Millisecond
 
+// minFleetToFormEarly is the number of listed instances from which replicas are formed while others are still being listed,
+// those of the model under the highest pressure only. To load so many takes longer than to list them.
+const minFleetToFormEarly = 400
+
 // draft is a record that is being changed.
 type draft struct {
 	*State
@@ -60,9 +64,10 @@
 	for _, g := range broken {
 		d.repair(g)
 	}
-	if now.Sub(s.lastArrival) < settleTime {
+	switch {
+	case now.Sub(s.lastArrival) < settleTime && len(s.nodes) >= minFleetToFormEarly:
 		d.formWhileListing()
-	} else {
+	case now.Sub(s.lastArrival) >= settleTime:
 		removed := d.removeCrossDomain()
 		d.form()
 		d.restoreCrossDomain(removed)
