gateway: Watch for answers only of a leader that has answered before

A leader of an earlier version does not answer reports of demand; during an update, daemons would leave it every 2.5 s. Peers that are gone are forgotten as unresponsive ones too.

--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -24,8 +24,8 @@
 	receivedAt time.Time
 }
 
-// reportDemand sends the demand since the last report to the leader, also if there was none. The leader sums the reports of all daemons, since the
-// share of a single daemon varies by a third from second to second.
+// reportDemand sends the demand since the last report to the leader, also if there was none. The leader sums the reports of
+// all daemons, since the share of a single daemon varies by a third from second to second.
 func (s *State) reportDemand(now time.Time) {
 	s.emitStats(now)
 	elapsed := now.Sub(s.demandReportedAt)
@@ -79,6 +79,7 @@
 		return
 	}
 	if s.members.leader != s.members.self {
+		s.members.leaderAnswers = s.members.leaderAnswers || message.From() == s.members.leader
 		return
 	}
 	s.demandByDaemon[message.From()] = daemonDemand{work, now}
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -38,6 +38,7 @@
 	disconnected     map[string]bool      // the link closed and nothing was received since
 	heardAt          map[string]time.Time // when a message of a peer last arrived
 	unresponsive     map[string]bool      // peers that did not answer as the leader, and were not heard of since
+	leaderAnswers    bool                 // the leader has answered a report; one of an earlier version does not
 	unansweredSince  time.Time            // when the leader was first asked without an answer, zero for none
 	outages          map[string]outage    // peers without full access to the store
 	sharedAccess     byte                 // access of this daemon as last shared with peers
@@ -96,9 +97,9 @@
 	}
 }
 
-// ask records that the leader was sent a message that it answers.
+// ask records that the leader was sent a report, which it answers.
 func (m *members) ask(now time.Time) {
-	if m.unansweredSince.IsZero() {
+	if m.leaderAnswers && m.unansweredSince.IsZero() {
 		m.unansweredSince = now
 	}
 }
@@ -121,7 +122,7 @@
 	if m.leader == "" {
 		return
 	}
-	m.leader, m.unansweredSince = "", time.Time{}
+	m.leader, m.leaderAnswers, m.unansweredSince = "", false, time.Time{}
 	s.emit(LeaderChanged{false, ""})
 	s.reduceReplica(now, replica.NewLeadershipChanged(false))
 }
@@ -288,7 +289,7 @@
 	if first == m.leader || first == m.self && (now.Sub(m.candidateSince) < leaderStableWindow || !s.listing.known) {
 		return
 	}
-	m.leader, m.unansweredSince = first, time.Time{}
+	m.leader, m.leaderAnswers, m.unansweredSince = first, false, time.Time{}
 	leading := first == m.self
 	s.emit(LeaderChanged{leading, first})
 	s.reduceReplica(now, replica.NewLeadershipChanged(leading))
@@ -324,6 +325,7 @@
 			delete(m.budgetPeerSeenAt, name)
 			delete(m.starts, name)
 			delete(m.heardAt, name)
+			delete(m.unresponsive, name)
 		}
 	}
 	if len(m.budgetPeerSeenAt) != m.budgetPeers {
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -9,8 +9,8 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-// A few daemons, the readers in each data centre, watch the platform's list of upstreams and send the changes to the others, since each call
-// to the store is billed. A daemon without a reader watches the list itself.
+// A few daemons, the readers, watch the platform's list of upstreams and send the changes to the others, mostly in their own
+// data centre, since each call to the store is billed. A daemon without a reader watches the list itself.
 
 // minReaders is how many daemons read the list at least: one of them may fail while another one starts.
 const minReaders = 3
