--- a/pkg/gateway/start_test.go
+++ b/pkg/gateway/start_test.go
@@ -21,7 +21,7 @@
 		f.run(benchTraffic)
 
 		Convey("most replicas are open at the first call, and all three seconds later", func() {
-			// The weight store starts 77 loads a second from 2.2 s on: 85 in 100 of those for 79 replicas have ended by then.
+			// Two thirds of 79; by the rate of the weight store nine tenths could be.
 			So(f.open(), ShouldBeGreaterThanOrEqualTo, 53)
 			f.run(benchTraffic + 3*time.Second)
 			So(f.open(), ShouldBeGreaterThanOrEqualTo, 79) // and any across domains
