--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -18,6 +18,7 @@
 // The intervals of work that is not done at each tick.
 const (
 	replicaTickInterval = 50 * time.Millisecond  // short compared with a repair, which takes two seconds
+	leaderTickInterval  = 25 * time.Millisecond  // of the leader, which handles the events of many instances together
 	demandInterval      = time.Second            // replicas follow demand within seconds at best
 	membershipInterval  = 250 * time.Millisecond // equals the gossip interval
 )
@@ -214,7 +215,11 @@
 	if now.Sub(s.demandReportedAt) >= demandInterval {
 		s.reportDemand(now)
 	}
-	if now.Sub(s.replicaTickedAt) >= replicaTickInterval {
+	interval := replicaTickInterval
+	if s.replica.Leading() {
+		interval = leaderTickInterval
+	}
+	if now.Sub(s.replicaTickedAt) >= interval {
 		s.replicaTickedAt = now
 		s.reduceReplica(now, replica.NewTicked())
 	}
--- a/pkg/replica/demand_test.go
+++ b/pkg/replica/demand_test.go
@@ -7,19 +7,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// loseMembers kills one member of a large replica every three seconds for good. The hosts hold the model that their engine
-// does not serve, so that an engine between two replicas joins one of the other model fastest. It returns how many replica-seconds of the
+// loseMembers kills one member of a large replica every three seconds for good. It returns how many replica-seconds of the
 // large model were served. With noTransfers, replicas give no members to others.
 func loseMembers(noTransfers bool) (served float64, sim *simulation) {
 	sim = newSimulation(6, 8, 1)
 	sim.daemons[0].state.noTransfers = noTransfers
 	sim.run(60 * time.Second)
-	for _, e := range sim.engines {
-		e.stagedModel = large.Name()
-		if e.loadedModel == large.Name() {
-			e.stagedModel = small.Name()
-		}
-	}
 	for range 9 {
 		for range 3 {
 			sim.feed(sim.daemons[0], NewDemandReported(map[string]float64{"large": 5, "small": 3}))
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -7,16 +7,30 @@
 	"github.com/azurepond/azurepond/pkg/object"
 )
 
-// The intervals of the leader's work, which combine the events of many instances: its cost grows with their number.
+// The leader sends orders and plans after each event in a small fleet. Both take longer the more instances there are, and
+// hundreds of instances cause hundreds of events a second. In a large fleet, the leader therefore handles the events of an
+// interval together, which grows with the number of instances.
 const (
-	reconcilePerInstance = 25 * time.Microsecond  // 23 ms at 925 instances
-	planPerInstance      = 250 * time.Microsecond // between plans, unless an instance is lost; 12 ms at 48 instances
-	planInterval         = 250 * time.Millisecond // between plans at most, and of staging; an eighth of a repair
+	orderIntervalPerInstance = 50 * time.Microsecond
+	planIntervalPerInstance  = 250 * time.Microsecond // not for a plan that replaces a lost instance
+	minEventInterval         = 25 * time.Millisecond  // shorter intervals are none: the next tick may be as late
+	planInterval             = 250 * time.Millisecond // between plans without an event; an eighth of the time of a repair
 )
 
-// untilNext returns the time between two passes of the leader's work, of which each instance takes a share.
-func (s *State) untilNext(perInstance time.Duration) time.Duration {
-	return min(time.Duration(len(s.nodes))*perInstance, planInterval)
+// eventInterval returns for how long the events of all instances are handled together.
+func (s *State) eventInterval(perInstance time.Duration) time.Duration {
+	interval := min(time.Duration(len(s.nodes))*perInstance, planInterval)
+	if interval < minEventInterval {
+		return 0
+	}
+	return interval
+}
+
+// isPlanDue reports whether the record must be compared with the state.
+func (s *State) isPlanDue(now time.Time) bool {
+	elapsed := now.Sub(s.lastPlan)
+	return s.isPlanUrgent || elapsed >= planInterval ||
+		s.hasEventSincePlan && elapsed >= s.eventInterval(planIntervalPerInstance)
 }
 
 // setLeading starts or stops the formation of replicas by this daemon.
@@ -43,13 +57,13 @@
 	if !s.leading || len(s.engine.Models()) == 0 {
 		return
 	}
-	if s.recordRead && s.writer.Synced() && now.Sub(s.lastReconcile) >= s.untilNext(reconcilePerInstance) {
+	if s.recordRead && s.writer.Synced() && now.Sub(s.lastReconcile) >= s.eventInterval(orderIntervalPerInstance) {
 		s.lastReconcile = now
 		if s.takeoverRecorded {
 			s.sendOrders(now)
 		}
-		if s.isPlanUrgent || now.Sub(s.lastPlan) >= s.untilNext(planPerInstance) {
-			s.lastPlan, s.isPlanUrgent = now, false
+		if s.isPlanDue(now) {
+			s.lastPlan, s.isPlanUrgent, s.hasEventSincePlan = now, false, false
 			s.writePlan(now)
 		}
 		s.emitCounts(now)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -304,7 +304,7 @@
 	sim := newSimulation(6, 8, daemons)
 	sim.run(50 * time.Second)
 	sim.feed(sim.daemons[0], NewDemandReported(map[string]float64{"large": 5, "small": 2}))
-	sim.run(8 * time.Second) // two conversions, and their replicas open
+	sim.run(5 * time.Second)
 	return sim
 }
 
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -38,7 +38,8 @@
 	nothingToClose    map[replicaEpoch]bool // replicas whose head has nothing to close
 	lastReconcile     time.Time             // when orders and the plan were last considered
 	lastPlan          time.Time             // when the record was last compared with the state
-	isPlanUrgent      bool                  // an instance was lost or is leaving, or the demand is new since then
+	hasEventSincePlan bool                  // other than a tick
+	isPlanUrgent      bool                  // an instance was lost or is leaving since then, or the demand is new
 	lastStaging       time.Time
 	lastCounts        time.Time
 	noTransfers       bool                 // replicas never give members to others; for comparison in tests
@@ -120,6 +121,9 @@
 	if isInstanceEvent {
 		s.updateHeads()
 	}
+	if _, isTick := e.(Ticked); !isTick {
+		s.hasEventSincePlan = true
+	}
 	s.reconcile(now)
 	return s.effects
 }
