settings, standin, operator: Use neutral names in the examples of error messages

The examples for missing fields had a data centre, a region and a caller of one deployment. TestBadInputs compares the whole message, with the new example.

--- a/internal/commands/inputs_test.go
+++ b/internal/commands/inputs_test.go
@@ -27,7 +27,7 @@
 	},
 	{
 		"settings", "centre: athens", "center: athens",
-		`file.yaml:1: centre: is missing; add "centre: athens"
+		`file.yaml:1: centre: is missing; add "centre: centre-a"
 file.yaml:2: center: is not a known field; did you mean "centre"?`,
 	},
 	{
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -73,8 +73,8 @@
 	listeners := readListeners(s.Section("listeners"))
 	settings := Settings{
 		name:        s.Name("name", "entry-1"),
-		centre:      s.Name("centre", "athens"),
-		region:      s.Name("region", "attica"),
+		centre:      s.Name("centre", "centre-a"),
+		region:      s.Name("region", "region-a"),
 		listeners:   listeners,
 		advertised:  readAdvertised(s.Section("advertised"), listeners),
 		seeds:       s.Addresses("seeds"),
--- a/internal/settings/standins.go
+++ b/internal/settings/standins.go
@@ -106,7 +106,7 @@
 		standIns.services = append(standIns.services, Service{
 			name:    section.Name("name", "tickets"),
 			address: section.Address("address"),
-			centre:  section.Name("centre", "athens"),
+			centre:  section.Name("centre", "centre-a"),
 		})
 	}
 	return standIns
@@ -119,7 +119,7 @@
 		address:         s.Address("address"),
 		pool:            s.Name("pool", "main"),
 		domain:          s.Name("domain", "rack-1"),
-		centre:          s.Name("centre", "athens"),
+		centre:          s.Name("centre", "centre-a"),
 		accelerators:    int(s.Int("accelerators", defaultAccelerators, 1, maxAccelerators)),
 		enforcesFencing: s.Bool("fencing", true),
 	}
--- a/pkg/operator/answers.go
+++ b/pkg/operator/answers.go
@@ -90,7 +90,7 @@
 		s.Reject("models", "and services are both empty", "describe at least one model or service")
 	}
 	usedCallerNames, usedKeys := maps.Clone(usedNames), map[Hash]bool{}
-	s.Require("callers", "[{name: odeon, size: small, targets: [notices]}]")
+	s.Require("callers", "[{name: team-a, size: small, targets: [notices]}]")
 	for _, section := range s.Sections("callers") {
 		a.callers = append(a.callers, readCallerAnswer(section, usedNames, usedCallerNames, usedKeys))
 	}
@@ -146,7 +146,7 @@
 		size:   s.Choice("size", callerSmall, callerMedium, callerLarge),
 		urgent: s.Bool("urgent", false),
 	}
-	caller.name = readUniqueName(s, "odeon", usedNames)
+	caller.name = readUniqueName(s, "team-a", usedNames)
 	caller.targets = readTargets(s, knownTargets)
 	caller.key = readKey(s, usedKeys)
 	return caller
--- a/pkg/operator/decode.go
+++ b/pkg/operator/decode.go
@@ -104,7 +104,7 @@
 
 func readService(s *yaml.Section, usedNames map[string]bool) Service {
 	service := Service{name: readUniqueName(s, "tickets", usedNames)}
-	s.Require("upstreams", "[{address: 127.0.0.1:9000, centre: athens}]")
+	s.Require("upstreams", "[{address: 127.0.0.1:9000, centre: centre-a}]")
 	for _, section := range s.Sections("upstreams") {
 		service.upstreams = append(service.upstreams, readUpstream(section))
 	}
@@ -121,7 +121,7 @@
 
 func readUpstream(s *yaml.Section) Upstream {
 	s.Require("address", "127.0.0.1:9000")
-	return Upstream{address: s.Address("address"), centre: s.Name("centre", "athens")}
+	return Upstream{address: s.Address("address"), centre: s.Name("centre", "centre-a")}
 }
 
 func parseRequestPattern(text string) (RequestPattern, bool) {
@@ -136,7 +136,7 @@
 
 func readOrganisation(s *yaml.Section, knownTargets, usedNames map[string]bool, usedKeys map[Hash]bool) Organisation {
 	return Organisation{
-		name:        readUniqueName(s, "odeon", usedNames),
+		name:        readUniqueName(s, "team-a", usedNames),
 		share:       int(s.Int("share", defaultShare, 1, maxShare)),
 		targets:     readTargets(s, knownTargets),
 		key:         readKey(s, usedKeys),
