--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,7 +13,7 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// maxAnswerBytes limits the part of an answer that is buffered before its head is forwarded.
+// maxAnswerBytes limits what is buffered of an answer before its head is forwarded.
 const maxAnswerBytes = 16 << 20
 
 var errAnswerTooLarge = errors.New("error answer exceeds the size limit")
@@ -135,8 +135,8 @@
 	return false
 }
 
-// forwardBuffered forwards an answer after it was read completely. Of an answer above maxAnswerBytes, the rest is
-// forwarded as it arrives.
+// forwardBuffered forwards an answer after it was read completely. An answer that exceeds maxAnswerBytes is forwarded as it
+// arrives.
 func (e *exchange) forwardBuffered(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
@@ -155,8 +155,8 @@
 	return true
 }
 
-// forwardLarge forwards the first part of an answer and then the rest. If the rest cannot be read, the caller's
-// connection is aborted, so that the answer does not look complete.
+// forwardLarge forwards the first bytes of an answer, which were read already, and then the rest as it arrives. If it fails,
+// the caller's connection is aborted, so that the answer does not look complete.
 func (e *exchange) forwardLarge(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, first []byte, class Classification,
 ) bool {
--- a/pkg/dispatch/backlog_test.go
+++ b/pkg/dispatch/backlog_test.go
@@ -19,11 +19,11 @@
 }
 
 // overload simulates calls at 1.8 times the capacity of the replicas for 15 s at many daemons.
-
-func overload(withoutLimit bool) *cluster {
+func overload(configure func(*State), firstEventTime time.Duration) *cluster {
 	cl := newCluster(16, 8, false)
+	cl.firstEventTime = firstEventTime
 	for _, daemon := range cl.daemons {
-		daemon.withoutOverloadLimit = withoutLimit
+		configure(daemon)
 	}
 	cl.arrivals(2*capacity*0.6, 3*time.Second, 1)
 	cl.after(3*time.Second, func() { cl.arrivals(2*capacity*1.8, 15*time.Second, 2) })
@@ -33,7 +33,7 @@
 
 func TestLastingOverload(t *testing.T) {
 	Convey("In an overload that lasts, slots go to calls that can be on time, and the others are refused early", t, func() {
-		before, now := overload(true), overload(false)
+		before, now := overload(func(s *State) { s.withoutOverloadLimit = true }, 0), overload(func(*State) {}, 0)
 		onTimeBefore, servedBefore := before.onTime()
 		onTime, served := now.onTime()
 		// An offline schedule serves the arrivals of 3 s, and the capacity of the next 15 s.
@@ -44,6 +44,16 @@
 		So(onTime, ShouldBeGreaterThan, onTimeBefore)
 		So(now.meanRefusal(), ShouldBeLessThan, callGoal)
 	})
+
+	Convey("They are on time even if the first event takes longer than estimated, since the youngest call goes first", t, func() {
+		const slowFirstEvent = 200 * time.Millisecond // the estimate for a full replica is 121 ms
+		byArrival := overload(func(s *State) { s.withoutYoungestFirst = true }, slowFirstEvent)
+		youngestFirst := overload(func(*State) {}, slowFirstEvent)
+		onTimeByArrival, _ := byArrival.onTime()
+		onTime, _ := youngestFirst.onTime()
+		Printf("\non time: %.3f in order of arrival, %.3f with the youngest first\n", onTimeByArrival, onTime)
+		So(onTime, ShouldBeGreaterThan, onTimeByArrival+0.1)
+	})
 }
 
 func TestBacklog(t *testing.T) {
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -24,6 +24,7 @@
 	messages        int
 	crashes         int            // of replicas
 	slowdown        map[string]int // factor on the times of a replica
+	firstEventTime  time.Duration  // from the start of a call, 0 for firstEventDelay
 	dropsMessages   bool           // messages between daemons are lost
 	withoutReplicas int            // number of daemons that list no replica
 	organisation    string         // of the next requests, empty for "one"
@@ -177,7 +178,7 @@
 			return
 		}
 		a, slow := c.attempt, time.Duration(max(cl.slowdown[name], 1))
-		cl.after(slow*firstEventDelay, func() { cl.begin(c, a) })
+		cl.after(slow*cmp.Or(cl.firstEventTime, firstEventDelay), func() { cl.begin(c, a) })
 		cl.after(slow*callTime, func() { cl.end(c, a) })
 	}
 }
--- a/pkg/dispatch/overload.go
+++ b/pkg/dispatch/overload.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Lasting overload: more calls that can be on time arrive than slots become free. A slot for a call that is late already makes
-// another call late then, so late calls are denied, a call is only queued if it can get a slot in time, and the youngest call
-// gets the next slot. In a short burst, late calls wait for the slots that are free after it.
+// Lasting overload: for longer than a burst, more calls that can meet their goal arrive than slots become free. A slot for a
+// call that is late already would make another one late. So late calls are denied, a call is queued only if it can get a slot
+// in time, and the youngest call gets the next slot. After a short burst there are slots for the late calls too, so they wait.
 
-// The rates by which a shard counts as overloaded.
+// The thresholds of an overload.
 const (
-	overloadRatio   = 1.1 // of offered calls to granted slots; the averages differ by some percent while all are granted
-	minOverloadRate = 4.0 // offered calls per second; fewer than eight of them in the averaging time say little
+	overloadRatio   = 1.1 // of offered calls to granted slots; the moving averages differ slightly without an overload
+	minOverloadRate = 4.0 // offered calls per second; the averages of fewer calls vary too much
 )
 
 // overloadDelay is how long more calls must be offered than slots are granted until an overload counts as lasting.
@@ -33,7 +33,7 @@
 
 // isOverloaded reports whether the overload of a shard lasts.
 func (t *slotTable) isOverloaded(now time.Time) bool {
-	return !t.noOverload && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
+	return !t.withoutOverloadLimit && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
 }
 
 // longestWait returns how long a call may be expected to wait for a slot.
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -60,22 +60,22 @@
 	return model.Name() != ""
 }
 
-// opensTooLate reports whether no replica of a call's model is open, and none will be within the time that the call may wait.
+// opensTooLate reports whether no replica of a call's model is open, and none can open before the call has to be refused.
 func (s *State) opensTooLate(now time.Time, up Upstreams, c *call) bool {
 	return s.isModelCall(c) && s.mayAppear(c) && len(s.targets(up, c)) == 0 &&
 		up.NextOpening(now, c.model).After(s.waitDeadline(c))
 }
 
-// openingRetryAfter returns the Retry-After time of a call that was refused until a replica opens. Jitter spreads the callers
-// that return over the time in which its slots are filled.
+// openingRetryAfter returns the Retry-After time of a call that is refused because no replica is open. Jitter spreads the
+// retries, since they all need a prefill.
 func (s *State) openingRetryAfter(now time.Time, up Upstreams, c *call) time.Duration {
 	wait := up.NextOpening(now, c.model).Sub(now) + time.Duration(s.random.Float64()*float64(openingSpread))
 	return min(wait, time.Duration(maxOpeningRetryRatio*float64(c.deadline.Sub(now))))
 }
 
-// The Retry-After times of calls that were refused until a replica opens.
+// The limits of the Retry-After time while no replica is open.
 const (
-	openingSpread        = 500 * time.Millisecond // a replica reads the prompts of a few dozen calls in that time
+	openingSpread        = 500 * time.Millisecond // in which a replica prefills the prompts of a few dozen calls
 	maxOpeningRetryRatio = 0.33                   // of the time left to the caller; callers respect no longer ones
 )
 
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -21,10 +21,12 @@
 	grantRates  map[string]*rate // of granted slots, by organisation
 	releaseRate rate             // of slots that became free
 	grantedRate rate             // of slots granted
-	noOverload  bool             // the limit of an overload is disabled, for comparison in tests
-	balancedAt  time.Time        // when no more calls were offered than granted last
-	offeredRate rate             // of calls that could be on time when they asked for a slot
-	lastSlack   time.Time        // when slots last sufficed for calls that can no longer meet their goal
+	balancedAt  time.Time        // when the granted slots last sufficed for the offered calls
+	offeredRate rate             // of calls that could meet their goal when they requested a slot
+
+	withoutOverloadLimit bool      // as in State
+	withoutYoungestFirst bool      // as in State
+	lastSlack            time.Time // when slots last sufficed for calls that can no longer meet their goal
 }
 
 // replicaSlots tracks the calls at one replica.
@@ -53,7 +55,7 @@
 func (s *State) slotTable(shard Shard) *slotTable {
 	t := s.slotTables[shard]
 	if t == nil {
-		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, noOverload: s.withoutOverloadLimit}
+		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, withoutOverloadLimit: s.withoutOverloadLimit, withoutYoungestFirst: s.withoutYoungestFirst}
 		s.slotTables[shard] = t
 	}
 	return t
@@ -216,7 +218,7 @@
 // they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
 	byAge := a.queuedAt.Compare(b.queuedAt)
-	if t.isOverloaded(now) {
+	if t.isOverloaded(now) && !t.withoutYoungestFirst {
 		byAge = -byAge
 	}
 	return cmp.Or(
--- a/pkg/gateway/addresses.go
+++ b/pkg/gateway/addresses.go
@@ -13,9 +13,9 @@
 // NewAddress returns the address (host:port) of a daemon in a data centre.
 func NewAddress(address, centre string) Address { return Address{address, centre} }
 
-// SelectAddresses returns up to limit addresses for a caller in a data centre: first those of daemons in the same one, and of
-// the others an equal share for each caller. A caller gets the same addresses from every daemon and each time, since it closes
-// its connections to those that are missing from a new list.
+// SelectAddresses returns up to limit addresses for a caller in a data centre: those of daemons in the same one first, and then
+// others, which differ between callers so that all daemons get an equal share. A caller gets the same addresses each time and
+// from every daemon, since callers close their connections to addresses that are missing from a new list.
 func SelectAddresses(all []Address, caller, centre string, limit int) []string {
 	selected := all
 	if len(all) > limit {
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -12,7 +12,7 @@
 func (s *State) reducePeer(now time.Time, e peer.Event) {
 	switch e := e.(type) {
 	case peer.Received:
-		s.members.hear(now, e.From())
+		s.members.recordReceived(now, e.From())
 	case peer.LinkClosed:
 		if now.Sub(s.members.resumedAt) >= linkResetTime {
 			s.members.disconnected[e.Name()] = true
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -24,8 +24,9 @@
 	receivedAt time.Time
 }
 
-// reportDemand sends the demand since the last report to the leader, also if there was none. The leader sums the reports of
-// all daemons, since the share of a single daemon varies by a third from second to second.
+// reportDemand sends the demand since the last report to the leader, even if there was none, since the acknowledgement shows
+// that the leader is alive. The leader sums the reports of all daemons, since the share of a single daemon varies by a third
+// from second to second.
 func (s *State) reportDemand(now time.Time) {
 	s.emitStats(now)
 	elapsed := now.Sub(s.demandReportedAt)
@@ -48,7 +49,7 @@
 	if s.members.leader == "" {
 		return
 	}
-	s.members.ask(now)
+	s.members.recordReport(now)
 	data, err := msgpack.Marshal(work)
 	if err != nil {
 		s.emit(Problem{"demand not encoded", err.Error()})
@@ -70,8 +71,8 @@
 	s.emit(stats)
 }
 
-// receiveDemand stores the demand that a daemon reports. The leader answers with an empty report, so that the daemon knows
-// that its leader is alive.
+// receiveDemand stores the demand that a daemon reports to the leader, and acknowledges it with an empty report. At any other
+// daemon, a report is such an acknowledgement.
 func (s *State) receiveDemand(now time.Time, message peer.DeliverDirectMessage) {
 	var work map[string]float64
 	if err := msgpack.Unmarshal(message.Data(), &work); err != nil {
@@ -79,17 +80,15 @@
 		return
 	}
 	if s.members.leader != s.members.self {
-		s.members.leaderAnswers = s.members.leaderAnswers || message.From() == s.members.leader
+		s.members.leaderAcks = s.members.leaderAcks || message.From() == s.members.leader
 		return
 	}
 	s.demandByDaemon[message.From()] = daemonDemand{work, now}
-	s.reducePeer(now, peer.NewDirectMessageRequested(message.From(), demandTopic, emptyDemand))
+	s.reducePeer(now, peer.NewDirectMessageRequested(message.From(), demandTopic, demandAck))
 }
 
-// emptyDemand is the encoding of a report without demand.
-var emptyDemand = []byte{msgpackEmptyMap}
-
-const msgpackEmptyMap = 0x80
+// demandAck is the message that acknowledges a report: the msgpack encoding of an empty map.
+var demandAck = []byte{0x80}
 
 // reportTotalDemand passes the demand of all daemons to the formation of replicas.
 func (s *State) reportTotalDemand(now time.Time) {
--- a/pkg/gateway/fleet_bench_test.go
+++ b/pkg/gateway/fleet_bench_test.go
@@ -18,29 +18,34 @@
 	for range b.N {
 		f := newFleet(largeFleet, benchTraffic)
 		f.report(b, "start", 0, benchTraffic)
-		b.ReportMetric(float64(f.open()), "open-at-traffic")
+		f.reportOpen(b, "open-at-traffic")
 		f.report(b, "calls", benchTraffic, benchTraffic+benchLosses)
 		for i := range 18 {
 			f.kill(f.engines[i*50])
 		}
 		f.report(b, "losses", benchTraffic+benchLosses, benchTraffic+benchEnd)
-		b.ReportMetric(float64(f.open()), "open-at-end")
+		f.reportOpen(b, "open-at-end")
 	}
 	b.ReportMetric(0, "ns/op")
 }
 
+func (f *fleet) reportOpen(b *testing.B, name string) {
+	all, _ := f.open()
+	b.ReportMetric(float64(all), name)
+}
+
 func (f *fleet) report(b *testing.B, phase string, from, to time.Duration) {
 	sent, calls := 0, 0
 	for _, d := range f.daemons {
 		sent -= d.sentBytes
-		calls -= d.storeCall
+		calls -= d.storeCalls
 	}
 	began := time.Now()
 	f.run(to)
 	daemonSeconds := float64(len(f.daemons)) * (to - from).Seconds()
 	for _, d := range f.daemons {
 		sent += d.sentBytes
-		calls += d.storeCall
+		calls += d.storeCalls
 	}
 	b.ReportMetric(time.Since(began).Seconds()/daemonSeconds*100, phase+"-%core")
 	b.ReportMetric(float64(sent)/daemonSeconds, phase+"-sentB/s")
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -66,19 +66,20 @@
 // fleetDaemon is a daemon with the counts of its work.
 type fleetDaemon struct {
 	State
-	name      string
-	address   string
-	down      bool
-	watching  bool // the list of upstreams
-	started   time.Time
-	sentBytes int
-	received  int
-	messages  map[string]int
-	events    map[string]int
-	orders    int
-	probes    int
-	storeCall int
-	nextCall  dispatch.ID
+	name          string
+	address       string
+	down          bool
+	watching      bool // the list of upstreams
+	started       time.Time
+	sentBytes     int
+	receivedBytes int
+	messages      map[string]int
+	events        map[string]int
+	orders        map[replica.Verb]int
+	leaderChanges []time.Time
+	probes        int
+	storeCalls    int
+	nextCall      dispatch.ID
 }
 
 // fleetCall is a call at a daemon.
@@ -131,12 +132,9 @@
 	byID     map[replica.ID]*fleetEngine
 	objects  map[string][]byte
 	versions map[string]int
-	watches  map[string][]func()
-	traffic  time.Time // its start
-	loadFree time.Time // when the weight store may start the next load
-	loadEnds []time.Time
+	traffic  time.Time             // its start
+	loadFree time.Time             // when the weight store may start the next load
 	calls    map[string]*fleetCall // by daemon and id
-	openedAt []time.Time           // of each replica, in order
 }
 
 func newFleet(size fleetSize, traffic time.Duration) *fleet {
@@ -144,7 +142,7 @@
 		size: size, now: fleetEpoch, random: rand.New(rand.NewPCG(1, 2)), byName: map[string]*fleetDaemon{},
 		byAddr: map[string]*fleetDaemon{}, linked: map[[2]string]bool{}, byID: map[replica.ID]*fleetEngine{},
 		objects: map[string][]byte{fleetConfigKey.String(): []byte(`{"version":1}`)}, versions: map[string]int{fleetConfigKey.String(): 1},
-		watches: map[string][]func(){}, traffic: fleetEpoch.Add(traffic), calls: map[string]*fleetCall{},
+		traffic: fleetEpoch.Add(traffic), calls: map[string]*fleetCall{},
 	}
 	for i := range size.engines {
 		e := &fleetEngine{
@@ -158,7 +156,7 @@
 	for i := range size.daemons {
 		d := &fleetDaemon{
 			name: fmt.Sprintf("edge-%03d", i), address: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250),
-			messages: map[string]int{}, events: map[string]int{},
+			messages: map[string]int{}, events: map[string]int{}, orders: map[replica.Verb]int{},
 		}
 		f.daemons = append(f.daemons, d)
 		f.byName[d.name], f.byAddr[d.address] = d, d
@@ -242,14 +240,16 @@
 func (f *fleet) apply(d *fleetDaemon, effect Effect) {
 	switch effect := effect.(type) {
 	case Store:
-		d.storeCall++
+		d.storeCalls++
 		f.after(fleetStoreDelay, func() { f.callStore(d, effect) })
 	case DecodeConfig:
 		f.after(0, func() { f.feed(d, NewConfigDecoded(f.config())) })
+	case LeaderChanged:
+		d.leaderChanges = append(d.leaderChanges, f.now)
 	case WatchUpstreams:
 		d.watching = effect.Enabled()
 		if d.watching {
-			d.storeCall++
+			d.storeCalls++
 			f.after(fleetStoreDelay, func() { f.feed(d, NewListed(f.listed())) })
 		}
 	case PeerEffect:
@@ -291,7 +291,7 @@
 		if err != nil {
 			panic(err)
 		}
-		to.received += size
+		to.receivedBytes += size
 		f.feed(to, NewPeerEvent(peer.NewReceived(d.name, message, size)))
 	})
 }
@@ -397,7 +397,7 @@
 func (f *fleet) applyReplica(d *fleetDaemon, effect replica.Effect) {
 	switch effect := effect.(type) {
 	case replica.Order:
-		d.orders++
+		d.orders[effect.Verb()]++
 		f.after(fleetLinkDelay, func() {
 			e := f.byID[effect.ID()]
 			if e.down {
@@ -456,7 +456,6 @@
 		}
 		f.changeLater(e, 300*time.Millisecond, func() {
 			e.membership = replica.NewMembership(m.Replica(), m.Epoch(), m.Rank(), replica.PhaseOpen)
-			f.openedAt = append(f.openedAt, f.now)
 		})
 	case replica.VerbCloseCut, replica.VerbCloseWait:
 		if !isMember || m.Phase() != replica.PhaseOpen {
@@ -519,22 +518,25 @@
 	})
 }
 
-// open returns how many replicas are complete and open.
-func (f *fleet) open() int {
-	count := 0
+// open returns how many replicas are complete and open, and how many of these are within one fabric domain.
+func (f *fleet) open() (all, withinDomain int) {
 	for _, e := range f.engines {
 		if e.membership.Phase() != replica.PhaseOpen || e.membership.Rank() != 0 {
 			continue
 		}
-		isWhole := !e.down
+		isWhole, isWithin := !e.down, true
 		for _, id := range e.members {
 			isWhole = isWhole && !f.byID[id].down
+			isWithin = isWithin && f.byID[id].domain == e.domain
 		}
 		if isWhole {
-			count++
+			all++
+		}
+		if isWhole && isWithin {
+			withinDomain++
 		}
 	}
-	return count
+	return all, withinDomain
 }
 
 // startTraffic begins the calls, which arrive at random daemons.
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -24,7 +24,7 @@
 	minHeartbeatTimeout = 2500 * time.Millisecond // a heartbeat advances by one daemon in each gossip interval
 	maxMissedHeartbeats = 3                       // heartbeats are less frequent in a large fleet
 	minLeaderUptime     = 1500 * time.Millisecond // peers connect within a second of their start, or of the end of a freeze
-	linkResetTime       = 500 * time.Millisecond  // links that this daemon closes after a freeze say nothing of its peers
+	linkResetTime       = 500 * time.Millisecond  // after a freeze, in which this daemon closes all links itself
 	startupFactTTL      = 2 * time.Second         // a daemon that has just started must not lead yet
 	leaderStableWindow  = 400 * time.Millisecond  // membership views differ for one or two gossip intervals
 	budgetPeerTTL       = 15 * time.Second        // 1.5 windows of the retry budget
@@ -36,10 +36,10 @@
 	resumedAt        time.Time            // start, or end of the last freeze
 	live             []peer.Member        // by rank
 	disconnected     map[string]bool      // the link closed and nothing was received since
-	heardAt          map[string]time.Time // when a message of a peer last arrived
-	unresponsive     map[string]bool      // peers that did not answer as the leader, and were not heard of since
-	leaderAnswers    bool                 // the leader has answered a report; one of an earlier version does not
-	unansweredSince  time.Time            // when the leader was first asked without an answer, zero for none
+	receivedAt       map[string]time.Time // when the last message of a peer arrived
+	unresponsive     map[string]bool      // former leaders that stopped to acknowledge reports and sent nothing since
+	leaderAcks       bool                 // the leader has acknowledged a report; one of an earlier version does not
+	unackedSince     time.Time            // when the first report was sent that the leader has not acknowledged, or zero
 	outages          map[string]outage    // peers without full access to the store
 	sharedAccess     byte                 // access of this daemon as last shared with peers
 	storeUnreachable bool                 // from this daemon
@@ -59,7 +59,7 @@
 func newMembers(now time.Time, self string) members {
 	return members{
 		self: self, resumedAt: now,
-		disconnected: map[string]bool{}, outages: map[string]outage{}, heardAt: map[string]time.Time{},
+		disconnected: map[string]bool{}, outages: map[string]outage{}, receivedAt: map[string]time.Time{},
 		unresponsive:     map[string]bool{},
 		budgetPeerSeenAt: map[string]time.Time{},
 		starts:           map[string]daemonStart{},
@@ -87,33 +87,33 @@
 	s.countBudgetPeers(now, fresh)
 }
 
-// hear records that a message of a peer arrived.
-func (m *members) hear(now time.Time, name string) {
+// recordReceived records that a message of a peer arrived.
+func (m *members) recordReceived(now time.Time, name string) {
 	delete(m.disconnected, name)
 	delete(m.unresponsive, name)
-	m.heardAt[name] = now
+	m.receivedAt[name] = now
 	if name == m.leader {
-		m.unansweredSince = time.Time{}
+		m.unackedSince = time.Time{}
 	}
 }
 
-// ask records that the leader was sent a report, which it answers.
-func (m *members) ask(now time.Time) {
-	if m.leaderAnswers && m.unansweredSince.IsZero() {
-		m.unansweredSince = now
+// recordReport records that a report was sent to the leader.
+func (m *members) recordReport(now time.Time) {
+	if m.leaderAcks && m.unackedSince.IsZero() {
+		m.unackedSince = now
 	}
 }
 
-// checkLeader stops following a leader that does not answer, until a message of it arrives. In a large fleet its missing
-// heartbeats are noticed only after many seconds.
+// checkLeader excludes a leader from the ranking that no longer acknowledges reports, until a message of it arrives. In a large
+// fleet, heartbeats are so rare that a frozen leader would be noticed only after ten seconds or more.
 func (m *members) checkLeader(now time.Time) {
-	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) >= minHeartbeatTimeout {
+	if !m.unackedSince.IsZero() && now.Sub(m.unackedSince) >= minHeartbeatTimeout {
 		m.unresponsive[m.leader] = true
-		m.unansweredSince = time.Time{}
+		m.unackedSince = time.Time{}
 	}
 }
 
-// resume handles the end of a freeze of this process. Until it knows its peers again, it follows no leader and does not lead.
+// resume handles the end of a freeze of this process: it does not lead, and follows no leader, until it knows its peers again.
 func (s *State) resume(now time.Time) {
 	m := &s.members
 	m.resumedAt, m.refreshedAt = now, time.Time{}
@@ -122,7 +122,7 @@
 	if m.leader == "" {
 		return
 	}
-	m.leader, m.leaderAnswers, m.unansweredSince = "", false, time.Time{}
+	m.leader, m.leaderAcks, m.unackedSince = "", false, time.Time{}
 	s.emit(LeaderChanged{false, ""})
 	s.reduceReplica(now, replica.NewLeadershipChanged(false))
 }
@@ -264,7 +264,7 @@
 	late := map[string]bool{}
 	for _, lag := range s.peer.MemberRevisions(now) {
 		late[lag.Name()] = lag.Age() > max(minHeartbeatTimeout, maxMissedHeartbeats*s.peer.HeartbeatInterval()) &&
-			now.Sub(s.members.heardAt[lag.Name()]) > minHeartbeatTimeout
+			now.Sub(s.members.receivedAt[lag.Name()]) > minHeartbeatTimeout
 	}
 	var fresh []peer.Member
 	for _, member := range s.members.live {
@@ -289,7 +289,7 @@
 	if first == m.leader || first == m.self && (now.Sub(m.candidateSince) < leaderStableWindow || !s.listing.known) {
 		return
 	}
-	m.leader, m.leaderAnswers, m.unansweredSince = first, false, time.Time{}
+	m.leader, m.leaderAcks, m.unackedSince = first, false, time.Time{}
 	leading := first == m.self
 	s.emit(LeaderChanged{leading, first})
 	s.reduceReplica(now, replica.NewLeadershipChanged(leading))
@@ -324,7 +324,7 @@
 		if now.Sub(seenAt) > budgetPeerTTL {
 			delete(m.budgetPeerSeenAt, name)
 			delete(m.starts, name)
-			delete(m.heardAt, name)
+			delete(m.receivedAt, name)
 			delete(m.unresponsive, name)
 		}
 	}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -44,14 +44,14 @@
 	return s
 }
 
-// The units in which an instance's resources are compared: below one unit of their product, an instance has class 0.
+// The units of an instance's resources. The class is the binary logarithm of their product, and 0 below one unit.
 const (
 	processorUnit = 0.01 // cores
 	linkUnit      = 1e6  // bits per second
 )
 
 // WithResources returns the settings with the processor time (cores) and the link (bits per second) of the daemon's
-// instance. Daemons with more of both lead, read the list and own shards first; those within a factor of two are equal.
+// instance. Daemons of a higher class are preferred as leaders, readers of the list and shard owners.
 func (s Settings) WithResources(cores, link float64) Settings {
 	s.capacity = uint8(max(math.Log2(max(cores/processorUnit*link/linkUnit, 1)), 0))
 	return s
--- a/pkg/gateway/start_test.go
+++ b/pkg/gateway/start_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/replica"
 )
 
 // firstStart is a fleet with the engines of the largest known one and a few daemons.
@@ -20,11 +22,20 @@
 		f := newFleet(firstStart(), benchTraffic)
 		f.run(benchTraffic)
 
-		Convey("most replicas are open at the first call, and all three seconds later", func() {
+		Convey("most replicas are open at the first call, and all of those within a domain three seconds later", func() {
 			// Two thirds of 79; by the rate of the weight store nine tenths could be.
-			So(f.open(), ShouldBeGreaterThanOrEqualTo, 53)
+			open, _ := f.open()
+			So(open, ShouldBeGreaterThanOrEqualTo, 53)
 			f.run(benchTraffic + 3*time.Second)
-			So(f.open(), ShouldBeGreaterThanOrEqualTo, 79) // and any across domains
+			_, withinDomain := f.open()
+			So(withinDomain, ShouldEqual, 79)
+		})
+
+		Convey("the leader sends no engine more than one join, stages nothing ahead of the joins, and seldom probes", func() {
+			leader := f.byName[f.daemons[0].members.leader]
+			So(leader.orders[replica.VerbJoin], ShouldBeLessThanOrEqualTo, 800) // members of 79 replicas
+			So(leader.orders[replica.VerbStage], ShouldEqual, 0)
+			So(leader.probes, ShouldBeLessThanOrEqualTo, f.size.engines)
 		})
 
 		Convey("one daemon leads, one in each data centre reads the list, and all of them have most resources", func() {
@@ -46,6 +57,20 @@
 	})
 }
 
+func TestStableLeader(t *testing.T) {
+	Convey("In a calm fleet no daemon changes its leader once all know each other", t, func() {
+		size := firstStart()
+		size.daemons, size.engines = 73, 111
+		f := newFleet(size, benchTraffic)
+		f.run(benchTraffic + 6*time.Second)
+		for _, d := range f.daemons {
+			for _, at := range d.leaderChanges {
+				So(at.Sub(fleetEpoch), ShouldBeLessThan, 5*time.Second)
+			}
+		}
+	})
+}
+
 func TestResumedDaemons(t *testing.T) {
 	Convey("Daemons that were frozen follow the leader once they resume, and never lead beside it", t, func() {
 		size := firstStart()
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -38,7 +38,7 @@
 	updateSentAt   time.Time
 	changedIn      map[replica.ID]uint64 // revision of the last update that has the entry, by upstream
 	goneIn         map[replica.ID]uint64 // the same for entries that were removed
-	oldestRevision uint64                // the changes since then are known
+	oldestRevision uint64                // of which the later changes are still known
 
 	source         string // the reader that this daemon subscribes to
 	sourceStart    uint64 // identifies the start of source
@@ -59,7 +59,7 @@
 // maxRememberedGone limits how many removed entries a reader remembers for the subscribers that missed an update.
 const maxRememberedGone = 1024 // more than the largest known fleet loses within an update interval
 
-// forgetGone forgets all removed entries when there are too many. Subscribers that missed one get the complete list.
+// forgetGone drops the removed entries when there are too many. Subscribers that missed one then get the complete list.
 func (l *listSync) forgetGone() {
 	if len(l.goneIn) > maxRememberedGone {
 		clear(l.goneIn)
--- a/pkg/gateway/sync_test.go
+++ b/pkg/gateway/sync_test.go
@@ -79,12 +79,12 @@
 			So(s.listSync.sourceRevision, ShouldEqual, 5)
 			update := listMessage{readerStart: start, fromRevision: 5, toRevision: 6, changed: []Upstream{entry("d")}}
 			s.applyListUpdate(now, update)
-			crossing := listMessage{readerStart: start, fromRevision: 5, toRevision: 6, changed: []Upstream{entry("d")}}
+			crossing := listMessage{readerStart: start, fromRevision: 5, toRevision: 7, changed: []Upstream{entry("d"), entry("e")}}
 			s.applyListUpdate(now, crossing)
-			So(s.listSync.sourceRevision, ShouldEqual, 6)
-			So(len(s.listing.entries), ShouldEqual, 4)
+			So(s.listSync.sourceRevision, ShouldEqual, 7)
+			So(len(s.listing.entries), ShouldEqual, 5)
 			s.applyListUpdate(now, listMessage{readerStart: start, fromRevision: 8, toRevision: 9, gone: []replica.ID{"d"}})
-			So(s.listSync.sourceRevision, ShouldEqual, 6)
+			So(s.listSync.sourceRevision, ShouldEqual, 7)
 			s.applyListUpdate(now, listMessage{readerStart: start, fromRevision: 4, toRevision: 5, gone: []replica.ID{"d"}})
 			So(s.listing.entries, ShouldContainKey, replica.ID("d"))
 		})
--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -221,7 +221,7 @@
 	s.confirmObservations(now, m)
 }
 
-// liveInterval is the time between two looks for members whose heartbeats have stopped, which expire after seconds.
+// liveInterval is the interval at which members whose heartbeats have stopped are removed; heartbeats expire after seconds.
 const liveInterval = 100 * time.Millisecond
 
 // refreshLiveIfDue recomputes the live members after a change or liveInterval.
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -41,7 +41,7 @@
 	callerAddress string
 	centre        string
 	incarnation   uint64
-	infoVersion   uint64 // the capacity, and a number that increases with each change
+	infoVersion   uint64 // the capacity in the highest byte, and below it the number of changes
 	leaving       bool
 	sequence      uint64
 	age           time.Duration
@@ -49,7 +49,8 @@
 	revision      uint64
 }
 
-// capacityShift is the position of the capacity in infoVersion, where daemons of earlier versions leave zeros.
+// capacityShift is the position of the capacity in infoVersion. Daemons of earlier versions send zeros there and compare the
+// whole number, so both understand each other.
 const capacityShift = 56
 
 func (i memberInfo) capacity() int { return int(i.infoVersion >> capacityShift) }
--- a/pkg/peer/settings.go
+++ b/pkg/peer/settings.go
@@ -52,8 +52,8 @@
 	return s
 }
 
-// WithCapacity returns the settings with the class of the resources of the daemon's instance, 0 if unknown. A daemon of a
-// higher class can carry more work for the others.
+// WithCapacity returns the settings with the resource class of the daemon's instance, 0 if unknown; a higher class has more
+// resources.
 func (s Settings) WithCapacity(class uint8) Settings {
 	s.capacity = class
 	return s
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -28,7 +28,7 @@
 // Incarnation returns the incarnation number of the daemon, which increases with each start.
 func (m Member) Incarnation() uint64 { return m.incarnation }
 
-// Capacity returns the class of the resources of the daemon's instance, 0 if unknown.
+// Capacity returns the resource class of the daemon's instance, 0 if unknown.
 func (m Member) Capacity() int { return m.capacity }
 
 // Leaving reports whether the daemon is about to stop.
--- a/pkg/replica/opening.go
+++ b/pkg/replica/opening.go
@@ -13,8 +13,8 @@
 	readyAt time.Time
 }
 
-// NextOpening returns when the next replica of a model may open at the earliest. That is when the members of one that is
-// forming are ready, or else after the shortest repair.
+// NextOpening returns the earliest time at which a replica of a model may open: when all members of one that is forming should
+// be ready, or else after the shortest repair, each with the time of the opening itself.
 func (s *State) NextOpening(now time.Time, model string) time.Time {
 	m, _ := s.engine.Model(model)
 	earliest := now.Add(min(m.WarmLoadTime(), m.LoadTime()) + s.engine.FormationTime())
--- a/pkg/replica/opening_test.go
+++ b/pkg/replica/opening_test.go
@@ -7,6 +7,32 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+func TestNextOpeningOfJoiningMembers(t *testing.T) {
+	Convey("Given a daemon that lists engines which load the small model from the weight store", t, func() {
+		l := newLeader()
+		joining := func(i int) Instance {
+			return engineNumber(i).WithModels(small.Name(), large.Name()).
+				WithMembership(NewMembership("r1", 1, i, PhaseJoining))
+		}
+		joined := l.now
+		repaired := func() time.Time { return l.now.Add(small.WarmLoadTime() + simFormationTime) }
+		l.feed(NewListChanges([]Instance{joining(0)}, nil))
+
+		Convey("a replica of which a member is missing does not count", func() {
+			l.now = joined.Add(small.LoadTime() - time.Second)
+			So(l.NextOpening(l.now, small.Name()), ShouldEqual, repaired())
+		})
+
+		Convey("a replica opens once its last member has loaded, unless a repair could be faster", func() {
+			l.feed(NewListChanges([]Instance{joining(1)}, nil))
+			So(l.NextOpening(l.now, small.Name()), ShouldEqual, repaired())
+			l.now = joined.Add(small.LoadTime() - time.Second)
+			So(l.NextOpening(l.now, small.Name()), ShouldEqual, joined.Add(small.LoadTime()+simFormationTime))
+			So(l.NextOpening(l.now, large.Name()), ShouldEqual, l.now.Add(large.WarmLoadTime()+simFormationTime))
+		})
+	})
+}
+
 func TestNextOpening(t *testing.T) {
 	Convey("Given daemons whose replicas were all lost", t, func() {
 		sim := newSimulation(1, 8, 2)
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -6,7 +6,7 @@
 const (
 	orderRetryInterval = 300 * time.Millisecond // an order takes a round trip of a few ms; a lost one is sent again
 	orderProbeInterval = 250 * time.Millisecond // an instance reports a change at once; the list lags if it takes longer
-	orderProbeBackoff  = 0.5                    // of the time that the effect is overdue
+	orderProbeBackoff  = 0.5                    // as a fraction of the time since the effect was due
 	orderEffectSlack   = 2 * time.Second        // on top of the load time, for loads that share the weight store
 )
 
@@ -44,8 +44,8 @@
 	s.stageMembers(now)
 }
 
-// isBootstrapping reports whether recorded replicas of a system that starts for the first time are not open yet. Their
-// loads are not limited before the first call, and those of stage orders would come ahead of them.
+// isBootstrapping reports whether a system that starts for the first time still has recorded replicas to open. Loads are not
+// limited before the first call, so stage orders would delay the loads of these replicas.
 func (s *State) isBootstrapping() bool {
 	return s.settings.bootstrap && !s.callsSeen && s.isForming(s.record.groups)
 }
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -12,13 +12,13 @@
 // rejoinTime is the time to join for an instance whose last replica served the same model.
 const rejoinTime = 200 * time.Millisecond // the platform's figure
 
-// settleTime is how long no new instance must have been listed before the plan counts on what is listed. Instances that
-// start together are listed within one heartbeat of each other. Replicas formed before all instances of a domain are listed
-// leave remainders in it that no other replica fits into.
+// settleTime is how long no new instance must have been listed before replicas are formed. Instances that start together are
+// listed within one heartbeat of each other. Replicas that are formed earlier fragment a domain: the instances that are left
+// in it may be too few for a large replica.
 const settleTime = 700 * time.Millisecond
 
-// minFleetToFormEarly is the number of listed instances from which replicas are formed while others are still being listed,
-// those of the model under the highest pressure only. To load so many takes longer than to list them.
+// minFleetToFormEarly is the number of listed instances from which replicas are formed before settleTime, since so many take
+// longer to load than to list.
 const minFleetToFormEarly = 400
 
 // draft is a record that is being changed.
@@ -211,7 +211,8 @@
 	}
 }
 
-// formWhileListing creates new replicas as long as the model under the highest pressure gets them.
+// formWhileListing creates replicas of the model under the highest pressure only. Those of another model would take instances
+// that the next replica of this one needs.
 func (d *draft) formWhileListing() {
 	for d.formOneOf(d.byPressure()[:1]) {
 	}
