gateway, replica, clock: Log how late a daemon runs, engines that answer again, and shard owners

A tick now carries the time at which it was due. The longest lag of each second is a metric, and a log line from 50 ms on. No decision changes.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -22,11 +22,8 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// The intervals of the daemon's timers.
-const (
-	tickInterval  = 25 * time.Millisecond // a tenth of the shortest known latency objective of a caller
-	sweepInterval = time.Second           // idle connections time out after seconds
-)
+// sweepInterval is the time between two sweeps of idle connections, which time out after seconds.
+const sweepInterval = time.Second
 
 // maxQueuedEvents is the capacity of the reducer's queue; when it is full, senders block.
 const maxQueuedEvents = 4096
@@ -171,14 +168,16 @@
 }
 
 func (d *Daemon) tick(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(gateway.TickInterval)
 	defer ticker.Stop()
+	due := time.Now().Add(gateway.TickInterval)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			d.enqueue(gateway.NewTicked())
+		case fired := <-ticker.C:
+			d.enqueue(gateway.NewTicked(due))
+			due = fired.Add(gateway.TickInterval)
 		}
 	}
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -52,6 +52,8 @@
 	case gateway.LeaderChanged:
 		d.recorder.SetGauge(metrics.Leading, leadingValue[effect.Leading()])
 		d.log.Info("replica", "leader", "leader", effect.Leader(), "self", effect.Leading())
+	case gateway.ShardOwnersChanged:
+		d.log.Info("dispatch", "shard owners", "count", len(effect.Owners()), "owners", effect.Owners())
 	case gateway.PeerEffect:
 		d.executePeer(effect.Effect())
 	case gateway.ReplicaEffect:
--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
@@ -36,8 +37,15 @@
 	for service, left := range s.RetriesLeft() {
 		d.recorder.SetGauge(metrics.RetriesLeft, int64(left), service)
 	}
+	d.recorder.SetGauge(metrics.Lag, s.Lag().Milliseconds())
+	if s.Lag() >= lateThreshold {
+		d.log.Info("daemon", "late", "lag", s.Lag(), "running", s.Active(), "waiting", s.Queued())
+	}
 }
 
+// lateThreshold is the lag from which on a daemon logs that it is late. Slot requests to it time out from about there on.
+const lateThreshold = 50 * time.Millisecond
+
 // metricsHandler returns the handler that serves the metrics in the Prometheus text format.
 func metricsHandler(registry gometrics.Registry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -120,6 +120,6 @@
 		Calls, FailedCalls, CallsInFlight, FirstTokenTime, AnswerTime, Retries, Downtime, StrandedTime,
 		WantedReplicas, AvailableReplicas, ConfigRevision, StoreRequests, Members,
 		Requests, RequestTime, FirstSendTime, Orders, Probes, UpstreamConnections,
-		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, DroppedLogLines, Leading,
+		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, DroppedLogLines, Lag, Leading,
 	}, linkMetrics...)
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -60,6 +60,11 @@
 		nil,
 		"lines", "Lines of the log that were dropped since nobody read them.",
 	}
+	Lag = Metric{
+		"azurepond_lag_milliseconds",
+		nil,
+		"milliseconds", "The longest delay within the last second between when a timer was due and when it was handled.",
+	}
 	Leading = Metric{
 		"azurepond_leading",
 		nil,
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -63,7 +63,7 @@
 	stats := Stats{
 		active: s.dispatch.Active(), queued: s.dispatch.Queued(),
 		awaitingSlot: s.dispatch.AwaitingSlot(), slotWaiters: s.dispatch.SlotWaiters(),
-		retriesLeft: map[string]float64{},
+		retriesLeft: map[string]float64{}, lag: s.lag.TakeLongest(),
 	}
 	for _, service := range s.config.Services() {
 		stats.retriesLeft[service.Name()] = s.dispatch.RetriesLeft(now, service.Name())
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -67,6 +67,12 @@
 // Leader returns the name of the leader, empty for none.
 func (l LeaderChanged) Leader() string { return l.leader }
 
+// ShardOwnersChanged reports the daemons that grant the slots of the replicas, as this daemon sees them.
+type ShardOwnersChanged struct{ owners []string }
+
+// Owners returns their names, by rank.
+func (s ShardOwnersChanged) Owners() []string { return s.owners }
+
 // WatchUpstreams starts, restarts or stops watching the platform's list of upstreams.
 type WatchUpstreams struct{ interval time.Duration }
 
@@ -83,6 +89,7 @@
 	awaitingSlot int
 	slotWaiters  int
 	retriesLeft  map[string]float64
+	lag          time.Duration
 }
 
 // Active returns how many requests have not ended.
@@ -100,6 +107,9 @@
 // RetriesLeft returns how many retries this daemon's budget still allows for each service.
 func (s Stats) RetriesLeft() map[string]float64 { return s.retriesLeft }
 
+// Lag returns the longest time from when a tick was due until this daemon handled it, since the last Stats.
+func (s Stats) Lag() time.Duration { return s.lag }
+
 // Problem is an error to log; processing continues.
 type Problem struct{ message, reason string }
 
@@ -141,6 +151,8 @@
 
 func (LeaderChanged) isEffect() {}
 
+func (ShardOwnersChanged) isEffect() {}
+
 func (WatchUpstreams) isEffect() {}
 
 func (Stats) isEffect() {}
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/object"
 	"github.com/azurepond/azurepond/pkg/peer"
@@ -94,11 +96,14 @@
 // NewStopping returns the event that a graceful shutdown of this daemon begins.
 func NewStopping() Stopping { return Stopping{} }
 
-// Ticked reports that time has passed; it is due every 25 ms.
-type Ticked struct{}
+// TickInterval is the time between two ticks.
+const TickInterval = 25 * time.Millisecond // a tenth of the shortest known latency objective of a caller
+
+// Ticked reports that time has passed.
+type Ticked struct{ due time.Time }
 
-// NewTicked returns the event that time has passed.
-func NewTicked() Ticked { return Ticked{} }
+// NewTicked returns the event of a tick that was due at due, on the clock of Reduce.
+func NewTicked(due time.Time) Ticked { return Ticked{due} }
 
 // PeerEvent is an event for pkg/peer.
 type PeerEvent struct{ event peer.Event }
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -218,7 +218,7 @@
 }
 
 func (f *fleet) tick(d *fleetDaemon) {
-	f.feed(d, NewTicked())
+	f.feed(d, NewTicked(f.now))
 	f.after(fleetTick, func() { f.tick(d) })
 }
 
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -106,6 +106,7 @@
 	}
 	if !slices.Equal(owners, s.shardOwners) {
 		s.shardOwners = owners
+		s.emit(ShardOwnersChanged{owners})
 		clear(s.ownerByShard)
 	}
 }
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/clock"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/peer"
 	"github.com/azurepond/azurepond/pkg/replica"
@@ -46,6 +47,8 @@
 	demandByDaemon   map[string]daemonDemand // reported to this daemon as the leader
 	shardOwners      []string                // the daemons that count the calls at replicas, the oldest first
 	liveNames        []string                // sorted; includes this daemon
+	lag              clock.Lag
+	nextTick         time.Time // when the next tick is due, zero before the first
 	ownerByShard     map[dispatch.Shard]string
 	effects          []Effect
 }
@@ -53,6 +56,7 @@
 // Reduce applies one event that happened at now and returns the effects to execute, in order.
 func (s *State) Reduce(now time.Time, e Event) []Effect {
 	s.effects = nil
+	s.observeLag(now, e)
 	switch e := e.(type) {
 	case Started:
 		s.start(now, e.settings)
@@ -82,6 +86,17 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
+// observeLag records how late this daemon handles a tick, or how long the next one is overdue.
+func (s *State) observeLag(now time.Time, e Event) {
+	due := s.nextTick
+	if tick, isTick := e.(Ticked); isTick {
+		due, s.nextTick = tick.due, now.Add(TickInterval)
+	}
+	if !due.IsZero() && now.After(due) {
+		s.lag.Observe(now, now.Sub(due))
+	}
+}
+
 // start initialises the state. The peer settings let every daemon watch the configuration in the store, so that one that is
 // partitioned from its peers but not from the store gets it in time too; watchConfig limits the idle watches.
 func (s *State) start(now time.Time, settings Settings) {
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -56,6 +56,12 @@
 		return
 	}
 	isRestarted := n.incarnation != report.incarnation
+	if n.dead {
+		s.emit(LogEntry{
+			message: "instance answers again", replica: report.membership.replica, epoch: report.membership.epoch,
+			members: []ID{n.id}, reason: answersAgainReason[isRestarted],
+		})
+	}
 	n.membershipConfirmed = now
 	previous := n.membership
 	s.setDead(n, false)
@@ -75,6 +81,9 @@
 	}
 }
 
+// answersAgainReason says whether an instance that was dead is a later start. If not, it may have been alive all the time.
+var answersAgainReason = map[bool]string{true: "restarted", false: "same start"}
+
 // probeDead probes dead instances at intervals, since they may only have been unreachable.
 func (s *State) probeDead(now time.Time) {
 	interval := followerProbeInterval
