replica: Count an expired probe only if this daemon was on time itself

Cause: the leader declared live engines dead. Its instance has a fraction of a core; while it was busy, the answers to its probes waited unread until the probes expired, and two expired probes were a death that all daemons accept. 862 times after the return, with no engine lost. Each one breaks a replica: its streams are prefilled again elsewhere, replicas are formed anew, and more calls and probes follow, all of which takes processor time from the daemons that were late in the first place. This loop outlived its cause. Change: the daemon measures how late it handles its ticks. A probe gets time for five waits of the recent lag, up to a second. If it expires and the lag turns out to be longer than that allowed for, it does not count and is repeated. A refused connection counts as before, and a late daemon still finds a dead instance, only later. Test: TestLiveEnginesDeclaredDead, 66 daemons with a tenth of a core and 228 engines in one process. TestLateProber has the rule alone.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -12,11 +12,8 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-// The timeouts of probes of engines and orders to them.
-const (
-	probeTimeout = 120 * time.Millisecond // fifty round trips; two failed probes declare an engine dead
-	orderTimeout = 200 * time.Millisecond // the fastest order takes that long to execute; engines reply when it begins
-)
+// orderTimeout limits the wait for the reply to an order.
+const orderTimeout = 200 * time.Millisecond // the fastest order takes that long to execute; engines reply when it begins
 
 // leadingValue is the value of metrics.Leading.
 var leadingValue = map[bool]int64{true: 1}
@@ -160,13 +157,17 @@
 }
 
 func (d *Daemon) probe(probe replica.Probe) {
-	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, probe.Timeout())
 	defer cancel()
 	instance, err := d.adapter.Engines.Probe(ctx, probe.ID(), probe.Address())
 	if err != nil {
 		d.recorder.ProbeEnded("missed")
-		d.log.Info("replica", "probe failed", "instance", probe.ID(), "err", err.Error())
-		d.enqueue(gateway.NewReplicaEvent(replica.NewProbeFailed(probe.ID())))
+		d.log.Info("replica", "probe failed", "instance", probe.ID(), "timeout", probe.Timeout(), "err", err.Error())
+		failed := replica.NewProbeFailed(probe.ID())
+		if ctx.Err() != nil {
+			failed = replica.NewProbeExpired(probe.ID())
+		}
+		d.enqueue(gateway.NewReplicaEvent(failed))
 		return
 	}
 	d.recorder.ProbeEnded("answered")
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -86,14 +86,22 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
+// minLag is the shortest lag that the timeouts of this daemon allow for.
+const minLag = 5 * time.Millisecond // twice the round trip to an upstream
+
 // observeLag records how late this daemon handles a tick, or how long the next one is overdue.
 func (s *State) observeLag(now time.Time, e Event) {
 	due := s.nextTick
 	if tick, isTick := e.(Ticked); isTick {
 		due, s.nextTick = tick.due, now.Add(TickInterval)
 	}
-	if !due.IsZero() && now.After(due) {
-		s.lag.Observe(now, now.Sub(due))
+	if due.IsZero() || !now.After(due) {
+		return
+	}
+	lag := now.Sub(due)
+	s.lag.Observe(now, lag)
+	if lag >= minLag {
+		s.reduceReplica(now, replica.NewDelayed(lag))
 	}
 }
 
--- a/pkg/replica/effect.go
+++ b/pkg/replica/effect.go
@@ -1,6 +1,10 @@
 package replica
 
-import "github.com/azurepond/azurepond/pkg/object"
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/object"
+)
 
 // Effect is an action for the driver: Store, Order, Probe, AnnounceDead, Counts, HeadsChanged or LogEntry.
 type Effect interface{ isEffect() }
@@ -69,6 +73,7 @@
 type Probe struct {
 	id      ID
 	address string
+	timeout time.Duration
 }
 
 // ID returns the instance to probe.
@@ -77,6 +82,9 @@
 // Address returns where the instance listens, as host:port.
 func (p Probe) Address() string { return p.address }
 
+// Timeout returns how long to wait for the answer.
+func (p Probe) Timeout() time.Duration { return p.timeout }
+
 // AnnounceDead reports to the other daemons that an instance does not answer.
 type AnnounceDead struct{ id ID }
 
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -1,12 +1,14 @@
 package replica
 
 import (
+	"time"
+
 	"github.com/azurepond/azurepond/pkg/object"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // Event is an input of the planner: Configured, Listed, Probed, Suspected, DeclaredDead, OrderAnswered, StoreCompleted,
-// LeadershipChanged, DemandReported, CallsArrived or Ticked.
+// LeadershipChanged, DemandReported, CallsArrived, Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured carries what the engines can run.
@@ -34,15 +36,21 @@
 type Probed struct {
 	id       ID
 	answered bool
+	expired  bool // no answer arrived within the timeout of the probe
 	instance Instance
 }
 
 // NewProbed returns the event that an instance answered a probe with this report.
-func NewProbed(instance Instance) Probed { return Probed{instance.id, true, instance} }
+func NewProbed(instance Instance) Probed {
+	return Probed{id: instance.id, answered: true, instance: instance}
+}
 
-// NewProbeFailed returns the event that the instance called id did not answer a probe.
+// NewProbeFailed returns the event that a probe of the instance called id ended without an answer, such as a refused connection.
 func NewProbeFailed(id ID) Probed { return Probed{id: id} }
 
+// NewProbeExpired returns the event that the instance called id did not answer within the timeout of a probe.
+func NewProbeExpired(id ID) Probed { return Probed{id: id, expired: true} }
+
 // Suspected says that an instance may be dead: its replica stopped responding, or a peer reported it.
 type Suspected struct{ id ID }
 
@@ -107,6 +115,12 @@
 // NewCallsArrived returns the event that callers send calls.
 func NewCallsArrived() CallsArrived { return CallsArrived{} }
 
+// Delayed says that this daemon handles its events late.
+type Delayed struct{ lag time.Duration }
+
+// NewDelayed returns the event that a timer of this daemon is handled lag after it was due.
+func NewDelayed(lag time.Duration) Delayed { return Delayed{lag} }
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -133,4 +147,6 @@
 
 func (CallsArrived) isEvent() {}
 
+func (Delayed) isEvent() {}
+
 func (Ticked) isEvent() {}
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -9,7 +9,10 @@
 // The limits of probes of instances.
 const (
 	maxMissedProbes       = 2                      // one lost packet does not make an instance dead
-	minProbeInterval      = 150 * time.Millisecond // a probe takes at most 250 ms, so two failures take half a second
+	minProbeInterval      = 150 * time.Millisecond // two expired probes take a quarter of a second
+	minProbeTimeout       = 120 * time.Millisecond // fifty round trips
+	maxProbeTimeout       = time.Second            // the list drops a dead instance after three heartbeats
+	probeWaits            = 5                      // times that a probe waits for this daemon: to connect, write, read, decode, and be reduced
 	leaderProbeInterval   = time.Second            // for dead instances, until they answer or are removed from the list
 	followerProbeInterval = 4 * time.Second        // on other daemons; the list drops a silent instance after three heartbeats
 )
@@ -25,7 +28,13 @@
 
 func (s *State) probe(now time.Time, id ID, n *node) {
 	n.lastProbe, n.probing = now, true
-	s.emit(Probe{id, n.address})
+	n.probeTimeout = min(s.neededProbeTimeout(now), maxProbeTimeout)
+	s.emit(Probe{id, n.address, n.probeTimeout})
+}
+
+// neededProbeTimeout returns how long a live instance may take to answer a probe, as this daemon sees it.
+func (s *State) neededProbeTimeout(now time.Time) time.Duration {
+	return minProbeTimeout + probeWaits*s.lag.Recent(now)
 }
 
 func (s *State) applyProbe(now time.Time, e Probed) {
@@ -38,6 +47,10 @@
 		s.applyReport(now, n, e.instance)
 		return
 	}
+	if e.expired && n.probeTimeout < s.neededProbeTimeout(now) {
+		s.probe(now, e.id, n) // this daemon was late itself, and the answer may still be unread
+		return
+	}
 	n.missedProbes++
 	if n.missedProbes < maxMissedProbes {
 		s.probe(now, e.id, n)
--- /dev/null
+++ b/pkg/replica/probe_test.go
@@ -0,0 +1,87 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/object"
+)
+
+// prober is a daemon that lists one instance and has begun to probe it.
+type prober struct {
+	now   time.Time
+	state State
+	probe Probe // the last one
+	dead  bool  // the instance was announced dead
+}
+
+func newProber(lag time.Duration) *prober {
+	p := &prober{now: simStart, state: New(NewSettings(object.NewKey("replicas", "main"), "a/1", 1))}
+	p.feed(NewListed([]Instance{NewInstance("i", "10.0.0.1:1", "c", "d", 1)}))
+	p.lag(lag)
+	p.feed(NewSuspected("i"))
+	return p
+}
+
+func (p *prober) feed(e Event) {
+	for _, effect := range p.state.Reduce(p.now, e) {
+		switch effect := effect.(type) {
+		case Probe:
+			p.probe = effect
+		case AnnounceDead:
+			p.dead = true
+		}
+	}
+}
+
+func (p *prober) lag(lag time.Duration) {
+	if lag > 0 {
+		p.feed(NewDelayed(lag))
+	}
+}
+
+// expire lets the probe expire, at a daemon that handles that with a lag.
+func (p *prober) expire(lag time.Duration) {
+	p.now = p.now.Add(p.probe.Timeout() + lag)
+	p.lag(lag)
+	p.feed(NewProbeExpired("i"))
+}
+
+func TestLateProber(t *testing.T) {
+	Convey("A probe that expires while the daemon itself is late does not count", t, func() {
+		p := newProber(0)
+		So(p.probe.Timeout(), ShouldEqual, minProbeTimeout)
+		for range 5 {
+			p.expire(300 * time.Millisecond)
+			So(p.dead, ShouldBeFalse)
+			So(p.probe.Timeout(), ShouldEqual, maxProbeTimeout)
+		}
+		for range maxMissedProbes {
+			p.expire(0)
+			p.now = p.now.Add(time.Second) // the daemon is on time again
+		}
+		p.expire(0)
+		So(p.dead, ShouldBeTrue)
+	})
+
+	Convey("A daemon that is somewhat late allows more time, and then finds a dead instance", t, func() {
+		const lag = 50 * time.Millisecond
+		p := newProber(lag)
+		So(p.probe.Timeout(), ShouldEqual, minProbeTimeout+probeWaits*lag)
+		for range maxMissedProbes {
+			So(p.dead, ShouldBeFalse)
+			p.expire(lag)
+		}
+		So(p.dead, ShouldBeTrue)
+	})
+
+	Convey("A refused connection counts, however late the daemon is", t, func() {
+		p := newProber(time.Second)
+		for range maxMissedProbes {
+			p.feed(NewProbeFailed("i"))
+		}
+		So(p.dead, ShouldBeTrue)
+	})
+}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/clock"
 	"github.com/azurepond/azurepond/pkg/object"
 	"github.com/azurepond/azurepond/pkg/route"
 )
@@ -17,6 +18,7 @@
 	deadIDs        map[ID]bool       // of the nodes that do not answer probes
 	heads          map[string][]Head // by model
 	lastEvent      time.Time
+	lag            clock.Lag          // of this daemon
 	lastArrival    time.Time          // when an unknown instance was last listed
 	demand         map[string]float64 // replicas that each model keeps busy, nil before the first report
 	callsSeen      bool
@@ -58,6 +60,7 @@
 	missedProbes        int
 	lastProbe           time.Time // when the last probe was sent
 	probing             bool
+	probeTimeout        time.Duration // of the last probe
 }
 
 // New returns the state of a daemon with these settings.
@@ -114,6 +117,9 @@
 		s.updateDemand(e.demand)
 		s.isPlanUrgent = true
 		isInstanceEvent = false
+	case Delayed:
+		s.lag.Observe(now, e.lag)
+		isInstanceEvent = false
 	case Ticked:
 		s.probeDead(now)
 		isInstanceEvent = false
