replica: Limit the orders and probes in flight

A fleet whose instances all have a tenth of a core opened no replica before the first call, and one of 38 two seconds later. Cause: the leader sends orders to all engines at once, handles the replies one by one, and takes those that it handles after their timeout for missing. It then probes the engines and orders them again, which delays the next replies too. Change: at most 32 orders and 32 probes are in flight. Further probes are queued; further orders are decided on when there is room, so that none is outdated when it is sent. Test: TestExpiredOrders.

--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -449,8 +449,13 @@
 	d *fleetDaemon, id replica.ID, timeout time.Duration, answer func(*fleetEngine) replica.Event, expired replica.Event,
 ) {
 	ended := false
-	end := func(e replica.Event) {
-		if !ended {
+	var end func(replica.Event)
+	end = func(e replica.Event) {
+		switch {
+		case ended:
+		case d.down: // a frozen daemon handles the result later
+			f.after(fleetTick, func() { end(e) })
+		default:
 			ended = true
 			f.feed(d, NewReplicaEvent(e))
 		}
--- a/pkg/gateway/power_test.go
+++ b/pkg/gateway/power_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/replica"
 )
 
 // smallInstances is a fleet whose daemons all have a tenth of a core.
@@ -44,3 +46,19 @@
 		})
 	})
 }
+
+func TestExpiredOrders(t *testing.T) {
+	Convey("A leader with a tenth of a core opens all replicas before the first call, and repeats few orders", t, func() {
+		size := smallInstances()
+		size.loadsPerSecond, size.concurrentLoads = 77, 115
+		f := newFleet(size, benchTraffic)
+		f.isLimited = true
+		f.run(benchTraffic)
+		open, withinDomain := f.open()
+		leader := f.byName[f.daemons[0].members.leader]
+		So(open, ShouldEqual, 38)
+		So(withinDomain, ShouldEqual, 38)
+		So(leader.orders[replica.VerbJoin], ShouldBeLessThanOrEqualTo, f.size.engines)
+		So(leader.probes, ShouldBeLessThanOrEqualTo, 2*f.size.engines)
+	})
+}
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -10,6 +10,9 @@
 	orderEffectSlack   = 2 * time.Second        // on top of the load time, for loads that share the weight store
 )
 
+// maxOrdersInFlight limits the orders without a reply. More would take a small instance longer than their timeout to handle.
+const maxOrdersInFlight = 32
+
 // drainTimeout is how long the calls of a closing replica may run. A replica is closed when a member is leaving, and a
 // leaving instance runs for at least the drain time of the platform, 2 s.
 const drainTimeout = 1500 * time.Millisecond
@@ -130,8 +133,11 @@
 
 // mustDefer reports whether an order must not be sent yet. That is so while a reply of the instance is outstanding,
 // since orders on two connections may be reordered. It is also so after the reply to the same order, while its effect
-// may still become visible.
+// may still become visible, and while too many orders have no reply.
 func (s *State) mustDefer(now time.Time, n *node, o Order) bool {
+	if s.ordersInFlight >= maxOrdersInFlight {
+		return true
+	}
 	orders := s.lastOrders[n.id]
 	for _, sent := range orders {
 		if sent.awaitingReply {
@@ -157,6 +163,7 @@
 		order: o, sentAt: now, awaitingReply: true,
 		expectedAt: now.Add(duration), effectDue: now.Add(duration + orderEffectSlack),
 	}
+	s.ordersInFlight++
 	s.emit(o)
 }
 
@@ -185,6 +192,7 @@
 }
 
 func (s *State) applyReply(now time.Time, e OrderAnswered) {
+	s.ordersInFlight--
 	last := s.lastOrders[e.order.id][e.order.verb]
 	if last == nil || last.order.fencingToken != e.order.fencingToken {
 		return
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -12,6 +12,7 @@
 	minProbeInterval      = 150 * time.Millisecond // two expired probes take a quarter of a second
 	minProbeTimeout       = 120 * time.Millisecond // fifty round trips
 	maxProbeTimeout       = time.Second            // the list drops a dead instance after three heartbeats
+	maxProbesInFlight     = 32                     // more would take a small instance longer than their timeout to handle
 	probeWaits            = 5                      // times that a probe waits for this daemon: to connect, write, read, decode, and be reduced
 	leaderProbeInterval   = time.Second            // for dead instances, until they answer or are removed from the list
 	followerProbeInterval = 4 * time.Second        // on other daemons; the list drops a silent instance after three heartbeats
@@ -26,8 +27,16 @@
 	s.probe(now, id, n)
 }
 
+// probe sends a probe to an instance, or queues it while too many probes run.
 func (s *State) probe(now time.Time, id ID, n *node) {
-	n.lastProbe, n.probing = now, true
+	n.probing = true
+	if s.probesInFlight >= maxProbesInFlight {
+		n.probeQueued = true
+		s.probeQueue = append(s.probeQueue, id)
+		return
+	}
+	s.probesInFlight++
+	n.lastProbe = now
 	n.probeTimeout = min(s.neededProbeTimeout(now), maxProbeTimeout)
 	s.emit(Probe{id, n.address, n.probeTimeout})
 }
@@ -37,7 +46,21 @@
 	return minProbeTimeout + probeWaits*s.lag.Recent(now)
 }
 
+// startQueuedProbes sends the probes that waited for others to end.
+func (s *State) startQueuedProbes(now time.Time) {
+	for len(s.probeQueue) > 0 && s.probesInFlight < maxProbesInFlight {
+		id := s.probeQueue[0]
+		s.probeQueue = s.probeQueue[1:]
+		if n := s.nodes[id]; n != nil && n.probeQueued {
+			n.probeQueued = false
+			s.probe(now, id, n)
+		}
+	}
+}
+
 func (s *State) applyProbe(now time.Time, e Probed) {
+	s.probesInFlight--
+	defer s.startQueuedProbes(now)
 	n := s.nodes[e.id]
 	if n == nil {
 		return
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -18,7 +18,9 @@
 	deadIDs        map[ID]bool       // of the nodes that do not answer probes
 	heads          map[string][]Head // by model
 	lastEvent      time.Time
-	lag            clock.Lag          // of this daemon
+	lag            clock.Lag // of this daemon
+	probesInFlight int
+	probeQueue     []ID               // of the nodes that wait for a probe
 	lastArrival    time.Time          // when an unknown instance was last listed
 	demand         map[string]float64 // replicas that each model keeps busy, nil before the first report
 	callsSeen      bool
@@ -31,6 +33,7 @@
 	recordRead        bool // since this daemon became the leader
 	takeoverRecorded  bool // this daemon wrote the current record
 	orderCount        uint64
+	ordersInFlight    int // sent and neither answered nor expired
 	lastOrders        map[ID]map[Verb]*sentOrder
 	loadStarts        []time.Time // of the loads within loadWindow
 	leadingSince      time.Time
@@ -59,7 +62,8 @@
 	dead                bool      // probes are not answered
 	missedProbes        int
 	lastProbe           time.Time // when the last probe was sent
-	probing             bool
+	probing             bool      // a probe runs or is queued
+	probeQueued         bool
 	probeTimeout        time.Duration // of the last probe
 }
 
