dispatch: Allow for the daemon's own lag before it blames owners and upstreams

Of the same class as: a daemon that handles its events late takes its own delay for that of others. Cause: the reply to a slot request that was read after 40 ms counted as missing. The owner was avoided for a second, and calls were sent without a slot meanwhile, to replicas that were full. Events of a stream that were not read yet counted as a stall: all members of the replica were probed, and after four stall timeouts the stream was prefilled again elsewhere. Change: both timeouts allow for two waits of the recent lag. A call waits for its slot for 200 ms at most, as before without a lag. Tests: TestOwnerBlamedByLateDaemon and TestUpstreamBlamedByLateDaemon, which fail without the allowance (three owners marked as unresponsive; a suspect at the first stall timeout).

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -99,10 +99,12 @@
 
 // attempt is a send of a call to an upstream that has not ended.
 type attempt struct {
-	id          AttemptID
-	call        *call
-	upstream    *upstream
-	sentAt      time.Time
-	isStarted   bool
-	isCancelled bool
+	id           AttemptID
+	call         *call
+	upstream     *upstream
+	sentAt       time.Time
+	stallTimeout time.Duration
+	isStarted    bool
+	isSuspected  bool // its upstream was reported as suspect, since the stream stalled
+	isCancelled  bool
 }
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -8,7 +8,7 @@
 
 // Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed,
 // CallerLeft, SlotReply, SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, ReplicaBroken,
-// BudgetPeersChanged, RetryLimitsChanged, Stopping or Ticked.
+// BudgetPeersChanged, RetryLimitsChanged, Stopping, Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured reports the configuration that is in force.
@@ -252,6 +252,12 @@
 // NewStopping returns the event of this daemon's shutdown.
 func NewStopping() Stopping { return Stopping{} }
 
+// Delayed reports that this daemon handles its events late.
+type Delayed struct{ lag time.Duration }
+
+// NewDelayed returns the event that a timer of this daemon is handled lag after it was due.
+func NewDelayed(lag time.Duration) Delayed { return Delayed{lag} }
+
 // Ticked reports the passage of time; the driver sends it every 25 ms.
 type Ticked struct{}
 
@@ -294,6 +300,8 @@
 
 func (Stopping) isEvent() {}
 
+func (Delayed) isEvent() {}
+
 func (Ticked) isEvent() {}
 
 // WithFailure returns the event with another failure.
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -21,9 +21,11 @@
 
 // The limits of slot requests.
 const (
-	slotRequestTimeout  = 40 * time.Millisecond // ten round trips between the data centres of a region
-	unresponsiveBackoff = time.Second           // after a missing reply; a restart takes about as long
-	maxShardTries       = 2                     // shards that are tried for a free slot before a call waits for one
+	slotRequestTimeout    = 40 * time.Millisecond  // ten round trips between the data centres of a region
+	maxSlotRequestTimeout = 200 * time.Millisecond // longer waits make a call late
+	slotRequestWaits      = 2                      // times that a request waits for this daemon: to be written, and for its reply to be read
+	unresponsiveBackoff   = time.Second            // after a missing reply; a restart takes about as long
+	maxShardTries         = 2                      // shards that are tried for a free slot before a call waits for one
 )
 
 // Shard is a part of the replicas of a model, whose slots one daemon grants.
@@ -54,7 +56,8 @@
 	call     *call
 	shard    Shard
 	owner    string
-	deadline time.Time // when the reply or the slot is due
+	sentAt   time.Time
+	deadline time.Time // until when the call waits for a slot, if isQueued
 	isLast   bool      // no other shard is tried after this one
 	isQueued bool      // waits at the owner for a free slot
 }
@@ -86,7 +89,7 @@
 		return
 	}
 	s.lastSlotRequest++
-	s.pendingSlots[s.lastSlotRequest] = &pendingSlot{c, shard, owner, now.Add(slotRequestTimeout), maxWait > 0, false}
+	s.pendingSlots[s.lastSlotRequest] = &pendingSlot{call: c, shard: shard, owner: owner, sentAt: now, isLast: maxWait > 0}
 	request := SlotRequest{
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
@@ -243,7 +246,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.pendingSlots)) {
 		pending := s.pendingSlots[id]
 		isMoved := pending.isQueued && up.Owner(pending.shard) != pending.owner
-		if now.Before(pending.deadline) && !isMoved {
+		if !isMoved && !s.isOverdue(now, pending) {
 			continue
 		}
 		delete(s.pendingSlots, id)
@@ -254,12 +257,27 @@
 		case pending.isQueued:
 			s.giveUp(now, c, Overload, s.slotRetryAfter(now, c))
 		default:
-			s.unresponsive[pending.owner] = now.Add(unresponsiveBackoff)
+			if now.Sub(pending.sentAt) >= s.neededSlotTimeout(now) {
+				s.unresponsive[pending.owner] = now.Add(unresponsiveBackoff)
+			}
 			s.placeWithoutSlot(now, up, c)
 		}
 	}
 }
 
+// isOverdue reports whether the reply to a slot request, or the slot that it waits for, should have arrived.
+func (s *State) isOverdue(now time.Time, pending *pendingSlot) bool {
+	if pending.isQueued {
+		return !now.Before(pending.deadline)
+	}
+	return now.Sub(pending.sentAt) >= min(s.neededSlotTimeout(now), maxSlotRequestTimeout)
+}
+
+// neededSlotTimeout returns how long the reply of a responsive owner may take, as this daemon sees it.
+func (s *State) neededSlotTimeout(now time.Time) time.Duration {
+	return slotRequestTimeout + slotRequestWaits*s.lag.Recent(now)
+}
+
 // markUnreported includes a replica in the next usage report.
 func (s *State) markUnreported(c *call, head string) {
 	if s.isModelCall(c) {
--- a/pkg/dispatch/grant_test.go
+++ b/pkg/dispatch/grant_test.go
@@ -21,6 +21,33 @@
 	})
 }
 
+func TestOwnerBlamedByLateDaemon(t *testing.T) {
+	Convey("A daemon that reads the replies to its slot requests late waits for them, and does not take the owner for unresponsive", t, func() {
+		cl := newCluster(8, 8, false)
+		cl.lateness = 40 * time.Millisecond
+		cl.feed(7, NewDelayed(cl.lateness))
+		for range 4 {
+			cl.arrive(7, callTimeout)
+		}
+		cl.run(500 * time.Millisecond)
+		So(cl.daemons[7].unresponsive, ShouldBeEmpty)
+		good, _ := cl.onTime()
+		So(good, ShouldEqual, 1)
+	})
+
+	Convey("Its calls are sent without a slot in time if the owner does not reply", t, func() {
+		cl := newCluster(8, 8, false)
+		cl.dropsMessages = true
+		cl.feed(7, NewDelayed(time.Second))
+		for range 4 {
+			cl.arrive(7, callTimeout)
+		}
+		cl.run(time.Second)
+		good, _ := cl.onTime()
+		So(good, ShouldEqual, 1)
+	})
+}
+
 func TestOwnerWithoutReplicas(t *testing.T) {
 	Convey("A call is sent without a slot if the shard owner lists no replica yet", t, func() {
 		cl := newCluster(8, 8, false)
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -147,7 +147,9 @@
 
 func (s *State) send(now time.Time, c *call, best candidate, upstreams int) {
 	s.lastAttempt++
-	a := &attempt{id: s.lastAttempt, call: c, upstream: best.upstream, sentAt: now}
+	a := &attempt{
+		id: s.lastAttempt, call: c, upstream: best.upstream, sentAt: now, stallTimeout: s.stallTimeout(c, best.target),
+	}
 	s.attempts[a.id] = a
 	best.upstream.begin(now, c.promptTokens)
 	s.markUnreported(c, best.target.name)
@@ -159,7 +161,7 @@
 	s.emit(Send{
 		attempt: a.id, id: c.id, route: c.route.Name(), upstream: best.target.name, address: best.target.address,
 		organisation: c.organisation, priority: c.priority, timeLeft: c.deadline.Sub(now), lastEventID: c.lastEventID,
-		kind: c.route.Kind(), stallTimeout: s.stallTimeout(c, best.target),
+		kind: c.route.Kind(), stallTimeout: a.stallTimeout,
 	})
 	s.note(now, c, NoteSent, best.target.name, "",
 		Inputs{upstreams, best.calls, best.cost, len(s.queue), best.upstream.reportAge(now)})
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -119,6 +119,34 @@
 	})
 }
 
+func TestUpstreamBlamedByLateDaemon(t *testing.T) {
+	Convey("A stream whose events this daemon has not read yet makes no upstream suspect, and stays where it is", t, func() {
+		sim := newSimulation(2, 1)
+		sim.arrive(1, "large", "/draft/x")
+		sim.run(200 * time.Millisecond)
+		first := sim.onlyAttempt()
+		sim.feed(NewDelayed(first.StallTimeout()))
+		for timeouts := 1; timeouts <= maxStallTimeouts; timeouts++ {
+			effects := sim.state.Reduce(sim.now, sim, NewStreamStalled(first.Attempt(), timeouts))
+			So(countCancels(effects), ShouldEqual, 0)
+			So(countSuspects(effects), ShouldEqual, map[bool]int{true: 1}[timeouts == 3])
+		}
+		sim.now = sim.now.Add(2 * time.Second) // the daemon is on time again
+		effects := sim.state.Reduce(sim.now, sim, NewStreamStalled(first.Attempt(), 1))
+		So(countSuspects(effects), ShouldEqual, 1)
+	})
+}
+
+func countSuspects(effects []Effect) int {
+	count := 0
+	for _, effect := range effects {
+		if _, isSuspect := effect.(Suspect); isSuspect {
+			count++
+		}
+	}
+	return count
+}
+
 func TestPlainServiceStream(t *testing.T) {
 	Convey("A stream of a plain service has a stall timeout", t, func() {
 		sim := newSimulation(1, 1)
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -27,6 +27,9 @@
 // callers give up.
 const maxStallTimeouts = 4
 
+// stallWaits is how often an event of a stream waits for this daemon until it resets the stall timeout: to be read, and written.
+const stallWaits = 2
+
 // handleStreamStalled reports the upstream of a stalled stream as suspect, and retries the stream elsewhere if the
 // stall lasts.
 func (s *State) handleStreamStalled(now time.Time, e StreamStalled) {
@@ -35,9 +38,14 @@
 		return
 	}
 	if e.timeouts == 1 {
+		a.isSuspected = false // this stall is a new one
+	}
+	silence := time.Duration(e.timeouts)*a.stallTimeout - stallWaits*s.lag.Recent(now)
+	if silence >= a.stallTimeout && !a.isSuspected {
+		a.isSuspected = true
 		s.emit(Suspect{a.target(), "stream stalled"})
 	}
-	if e.timeouts >= maxStallTimeouts {
+	if silence >= maxStallTimeouts*a.stallTimeout {
 		s.cancelToRetry(now, a)
 	}
 }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/clock"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -36,6 +37,7 @@
 	slotTables            map[Shard]*slotTable // of the shards that this daemon owns
 	shardLoads            map[Shard]shardLoad
 	runningByOrganisation map[string]int // running attempts
+	lag                   clock.Lag      // of this daemon
 	fifo                  bool           // queues calls in order of arrival, as the baseline of tests
 	withoutSlots          bool           // sends calls without slot requests, as the baseline of tests
 	withoutYoungestFirst  bool           // calls get slots in order of arrival during an overload; for comparison in tests
@@ -116,6 +118,8 @@
 		s.budgetPeers = max(e.count, 1)
 	case RetryLimitsChanged:
 		s.settings.retries = e.limits
+	case Delayed:
+		s.lag.Observe(now, e.lag)
 	case Stopping:
 		s.stopping = true
 	case Ticked:
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -102,6 +102,7 @@
 	s.lag.Observe(now, lag)
 	if lag >= minLag {
 		s.reduceReplica(now, replica.NewDelayed(lag))
+		s.reduceDispatch(now, dispatch.NewDelayed(lag))
 	}
 }
 
