gateway: Take this daemon's own pauses off the silence of others

Cause: a daemon that stood still for 1.2 s or more, which is too short to count as a freeze, took its reader of the list for lost and read the list from the store, and one that stood still for 1.5 to 2.7 s took its leader for silent and followed another one for a moment. Nobody had been silent: it had received nothing as it did not run. Change: at the first tick after a pause of 100 ms or more, the times since which the leader, the peers and the reader are silent move by the length of the pause.

--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -89,10 +89,28 @@
 // minLag is the shortest lag that the timeouts of this daemon allow for.
 const minLag = 5 * time.Millisecond // twice the round trip to an upstream
 
+// minPause is the shortest time without a tick that counts as a pause of this daemon.
+const minPause = 4 * TickInterval
+
+// discountPause takes a pause of this daemon off the time for which others have been silent.
+func (s *State) discountPause(pause time.Duration) {
+	m := &s.members
+	if !m.unackedSince.IsZero() {
+		m.unackedSince = m.unackedSince.Add(pause)
+	}
+	for name, at := range m.receivedAt {
+		m.receivedAt[name] = at.Add(pause)
+	}
+	s.listSync.receivedAt = s.listSync.receivedAt.Add(pause)
+}
+
 // observeLag records how late this daemon handles a tick, or how long the next one is overdue.
 func (s *State) observeLag(now time.Time, e Event) {
 	due := s.nextTick
 	if tick, isTick := e.(Ticked); isTick {
+		if pause := now.Sub(due); !due.IsZero() && pause >= minPause {
+			s.discountPause(pause)
+		}
 		due, s.nextTick = tick.due, now.Add(TickInterval)
 	}
 	if due.IsZero() || !now.After(due) {
