gateway, replica, object: Recover when the store continues from an older copy

What callers would have seen: after a restore of the store, the leader took the older record for the truth. Replicas that had been recorded since were closed while they served, epochs and fencing tokens were given out again so that engines refused orders, a watch went on over revisions that stood for something else, and an upstream that had left was used again while the older list named it as ready. Nothing read the header Store-Era. Change: answers of the store carry their era. A watch or a paged list over two eras starts again; answers of an earlier era are dropped. Once the era rises, the leader reads the record again, asks all instances, and records the replicas that they report before it plans; epochs continue above all that may have been used. Readers merge the first list of an era with what they know.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -49,6 +49,12 @@
 	case gateway.LeaderChanged:
 		d.recorder.SetGauge(metrics.Leading, leadingValue[effect.Leading()])
 		d.log.Info("replica", "leader", "leader", effect.Leader(), "self", effect.Leading())
+	case gateway.StoreRestored:
+		d.recorder.StoreRestored(effect.Era())
+		d.log.Info("store", "continues from an older copy", "before", effect.Before(), "era", effect.Era())
+	case gateway.StoreAnswerOutdated:
+		d.recorder.StoreAnswerOutdated()
+		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
 	case gateway.ShardOwnersChanged:
 		d.log.Info("dispatch", "shard owners", "count", len(effect.Owners()), "owners", effect.Owners())
 	case gateway.PeerEffect:
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -121,5 +121,6 @@
 		WantedReplicas, AvailableReplicas, ConfigRevision, StoreRequests, Members,
 		Requests, RequestTime, FirstSendTime, Orders, Probes, UpstreamConnections,
 		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, DroppedLogLines, Lag, Leading,
+		StoreRestores, StoreEra, OutdatedStoreAnswers,
 	}, linkMetrics...)
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -60,6 +60,21 @@
 		nil,
 		"lines", "Lines of the log that were dropped since nobody read them.",
 	}
+	StoreRestores = Metric{
+		"azurepond_store_restores_total",
+		nil,
+		"restores", "How often the store continued from an older copy while this daemon used it.",
+	}
+	StoreEra = Metric{
+		"azurepond_store_era",
+		nil,
+		"number", "The era of the store after the last such time, 0 if there was none.",
+	}
+	OutdatedStoreAnswers = Metric{
+		"azurepond_store_outdated_answers_total",
+		nil,
+		"answers", "Answers of the store that were dropped, since they were of an earlier era.",
+	}
 	Lag = Metric{
 		"azurepond_lag_milliseconds",
 		nil,
@@ -99,3 +114,12 @@
 
 // ProbeEnded counts a probe of an engine by its result.
 func (r *Recorder) ProbeEnded(result string) { r.increment(Probes.RegistryName(result)) }
+
+// StoreRestored counts that the store continued from an older copy, and sets its era.
+func (r *Recorder) StoreRestored(era uint64) {
+	r.increment(StoreRestores.RegistryName())
+	r.SetGauge(StoreEra, int64(era))
+}
+
+// StoreAnswerOutdated counts an answer of an earlier era.
+func (r *Recorder) StoreAnswerOutdated() { r.increment(OutdatedStoreAnswers.RegistryName()) }
--- /dev/null
+++ b/pkg/gateway/era.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/replica"
+)
+
+// The era of the store rises when the store continues from an older copy of its objects. What was written since the copy is gone
+// then, and its revisions are given out again, so answers of an earlier era are worthless.
+
+// observeEra applies the era of an answer of the store, and reports whether the answer is not of an earlier one.
+func (s *State) observeEra(now time.Time, era uint64) bool {
+	switch {
+	case era == 0 || era == s.storeEra:
+		return true
+	case era < s.storeEra:
+		s.emit(StoreAnswerOutdated{era, s.storeEra})
+		return false
+	}
+	before := s.storeEra
+	s.storeEra = era
+	s.reduceReplica(now, replica.NewStoreEra(era))
+	if before != 0 {
+		s.listing.restore(now)
+		s.shareStoreAccess(now)
+		s.emit(StoreRestored{before, era})
+	}
+	return true
+}
+
+// StoreRestored reports that the store continues from an older copy of its objects.
+type StoreRestored struct{ before, era uint64 }
+
+// Before returns the era before.
+func (s StoreRestored) Before() uint64 { return s.before }
+
+// Era returns the present era.
+func (s StoreRestored) Era() uint64 { return s.era }
+
+// StoreAnswerOutdated reports that an answer of the store was dropped, as it is of an earlier era.
+type StoreAnswerOutdated struct{ era, current uint64 }
+
+// Era returns the era of the answer.
+func (s StoreAnswerOutdated) Era() uint64 { return s.era }
+
+// Current returns the present era.
+func (s StoreAnswerOutdated) Current() uint64 { return s.current }
+
+func (StoreRestored) isEffect() {}
+
+func (StoreAnswerOutdated) isEffect() {}
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -54,6 +54,13 @@
 	upstreams []Upstream
 	gone      []replica.ID
 	complete  bool
+	era       uint64 // of the store
+}
+
+// WithEra returns the event with the era of the store, 0 if unknown.
+func (l Listed) WithEra(era uint64) Listed {
+	l.era = era
+	return l
 }
 
 // NewListed returns the event of the complete list.
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -141,6 +141,8 @@
 	byID      map[replica.ID]*fleetEngine
 	objects   map[string][]byte
 	versions  map[string]int
+	written   []fleetWrite          // all writes, the latest last
+	era       uint64                // of the store
 	traffic   time.Time             // its start
 	loadFree  time.Time             // when the weight store may start the next load
 	calls     map[string]*fleetCall // that have not ended, by daemon and id
@@ -154,7 +156,7 @@
 		size: size, now: fleetEpoch, random: rand.New(rand.NewPCG(1, 2)), byName: map[string]*fleetDaemon{},
 		byAddr: map[string]*fleetDaemon{}, linked: map[[2]string]bool{}, byID: map[replica.ID]*fleetEngine{},
 		objects: map[string][]byte{fleetConfigKey.String(): []byte(`{"version":1}`)}, versions: map[string]int{fleetConfigKey.String(): 1},
-		traffic: fleetEpoch.Add(traffic), calls: map[string]*fleetCall{},
+		traffic: fleetEpoch.Add(traffic), era: 1, calls: map[string]*fleetCall{},
 		attempts: map[string]*fleetAttempt{},
 	}
 	for i := range size.engines {
@@ -273,7 +275,7 @@
 		d.watching = effect.Enabled()
 		if d.watching {
 			d.storeCalls++
-			f.after(fleetStoreDelay, func() { f.feed(d, NewListed(f.listed())) })
+			f.after(fleetStoreDelay, func() { f.feed(d, NewListed(f.listed()).WithEra(f.era)) })
 		}
 	case PeerEffect:
 		switch effect := effect.Effect().(type) {
@@ -354,13 +356,16 @@
 	if f.versions[key] > 0 {
 		version = object.Version(fmt.Sprint(f.versions[key]))
 	}
-	reply := func(result object.Result) { f.feed(d, NewStoreCompleted(effect.Component(), result)) }
+	reply := func(result object.Result) {
+		f.feed(d, NewStoreCompleted(effect.Component(), object.InEra(result, f.era)))
+	}
 	switch r := request.(type) {
 	case object.Put:
 		if r.ExpectedVersion() != version {
 			reply(object.NewConflict(ref))
 			return
 		}
+		f.written = append(f.written, fleetWrite{f.now, key, f.versions[key], f.objects[key]})
 		f.versions[key]++
 		f.objects[key] = r.Data()
 		reply(object.NewStored(ref, object.Version(fmt.Sprint(f.versions[key]))))
@@ -373,6 +378,30 @@
 	}
 }
 
+// fleetWrite is a write to the store, with what it replaced.
+type fleetWrite struct {
+	at      time.Time
+	key     string
+	version int
+	before  []byte
+}
+
+// restoreStore makes the store continue from a copy of this age. The daemons that watch the list notice, and read it again.
+func (f *fleet) restoreStore(age time.Duration) {
+	f.era++
+	for len(f.written) > 0 && f.now.Sub(f.written[len(f.written)-1].at) < age {
+		last := f.written[len(f.written)-1]
+		f.versions[last.key], f.objects[last.key] = last.version, last.before
+		f.written = f.written[:len(f.written)-1]
+	}
+	for _, d := range f.daemons {
+		if d.watching {
+			d.storeCalls++
+			f.after(fleetListDelay, func() { f.feed(d, NewListed(f.listed()).WithEra(f.era)) })
+		}
+	}
+}
+
 // list registers an engine in the list.
 func (f *fleet) list(e *fleetEngine) {
 	e.listed = true
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -16,6 +16,12 @@
 	// absentGraceOtherReader is how long an entry is kept that is missing from another reader's list: that reader may
 	// have started during an outage. It is half of the two seconds after which a leaving upstream must get no new work.
 	absentGraceOtherReader = time.Second
+	// removalMemory is how long a removed upstream is remembered, which is longer than the age of a copy that the store may
+	// continue from.
+	removalMemory = time.Minute
+	// holdBackTime is how long an entry is held back whose upstream was removed before the store continued from an older copy.
+	// The store removes it again after three missed heartbeats.
+	holdBackTime = 5 * time.Second
 )
 
 // listing is the platform's list of upstreams, including entries that expired during an outage of the store.
@@ -25,6 +31,21 @@
 	known            bool
 	unavailable      bool      // neither this daemon nor its source can read the list; entries are kept
 	storeRecoveredAt time.Time // end of the last outage seen by this daemon
+	removed          map[replica.ID]removal
+	isRestored       bool // the next complete list is of an older copy of the store
+	heldBack         map[replica.ID]heldEntry
+}
+
+// removal is an upstream that was removed from the list.
+type removal struct {
+	incarnation int64
+	at          time.Time
+}
+
+// heldEntry is an entry of an older copy of the store that was removed since.
+type heldEntry struct {
+	upstream Upstream
+	until    time.Time
 }
 
 // apply merges a list and returns what changed. An entry that a complete list lacks is kept for absentGrace, and at least
@@ -32,18 +53,29 @@
 func (l *listing) apply(now time.Time, e Listed, absentGrace time.Duration) (changed []Upstream, gone []replica.ID) {
 	if l.entries == nil {
 		l.entries, l.absent = map[replica.ID]Upstream{}, map[replica.ID]time.Time{}
+		l.removed, l.heldBack = map[replica.ID]removal{}, map[replica.ID]heldEntry{}
 	}
+	isRestored := l.isRestored && e.complete
+	l.isRestored = l.isRestored && !e.complete
 	l.known, l.unavailable = true, false
 	listed := map[replica.ID]bool{}
 	for _, u := range e.upstreams {
 		id := u.instance.ID()
+		if isRestored && l.holdBack(now, u) {
+			continue
+		}
+		delete(l.heldBack, id)
 		listed[id] = true
 		delete(l.absent, id)
+		if known, isKnown := l.entries[id]; isKnown {
+			u = known.merge(u, isRestored)
+		}
 		l.entries[id] = u
 		changed = append(changed, u)
 	}
 	for _, id := range e.gone {
 		l.absent[id] = l.graceEnd()
+		delete(l.heldBack, id)
 	}
 	if e.complete {
 		for id := range l.entries {
@@ -79,8 +111,54 @@
 			continue
 		}
 		gone = append(gone, id)
+		l.removed[id] = removal{l.entries[id].instance.Incarnation(), now}
 		delete(l.absent, id)
 		delete(l.entries, id)
 	}
+	for id, r := range l.removed {
+		if now.Sub(r.at) > removalMemory {
+			delete(l.removed, id)
+		}
+	}
 	return gone
 }
+
+// restore prepares for the list of a store that continues from an older copy. What upstreams have written since is missing from
+// it until they write it again.
+func (l *listing) restore(now time.Time) {
+	l.isRestored, l.storeRecoveredAt = true, now
+}
+
+// holdBack holds back an entry of an older copy whose upstream was removed since, and reports whether it did.
+func (l *listing) holdBack(now time.Time, u Upstream) bool {
+	r, isRemoved := l.removed[u.instance.ID()]
+	if !isRemoved || r.incarnation < u.instance.Incarnation() {
+		return false
+	}
+	l.heldBack[u.instance.ID()] = heldEntry{u, now.Add(holdBackTime)}
+	return true
+}
+
+// releaseHeldBack returns the entries that are still listed at the end of the time for which they were held back.
+func (l *listing) releaseHeldBack(now time.Time) []Upstream {
+	var released []Upstream
+	for _, id := range slices.Sorted(maps.Keys(l.heldBack)) {
+		if held := l.heldBack[id]; !now.Before(held.until) {
+			released = append(released, held.upstream)
+			delete(l.heldBack, id)
+		}
+	}
+	return released
+}
+
+// merge returns a later entry of the same upstream, or an older one if the store continues from an older copy. An upstream that
+// leaves does not come back in the same start.
+func (u Upstream) merge(next Upstream, isOlder bool) Upstream {
+	switch {
+	case isOlder:
+		next.instance = u.instance.MergeOlder(next.instance)
+	case u.instance.Leaving() && u.instance.Incarnation() == next.instance.Incarnation():
+		next.instance = next.instance.WithLeaving(true)
+	}
+	return next
+}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurepond/azurepond/pkg/clock"
 	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/object"
 	"github.com/azurepond/azurepond/pkg/peer"
 	"github.com/azurepond/azurepond/pkg/replica"
 	"github.com/azurepond/azurepond/pkg/route"
@@ -47,6 +48,7 @@
 	demandByDaemon   map[string]daemonDemand // reported to this daemon as the leader
 	shardOwners      []string                // the daemons that count the calls at replicas, the oldest first
 	liveNames        []string                // sorted; includes this daemon
+	storeEra         uint64                  // 0 if unknown
 	lag              clock.Lag
 	nextTick         time.Time // when the next tick is due, zero before the first
 	ownerByShard     map[dispatch.Shard]string
@@ -65,7 +67,9 @@
 	case ConfigDecoded:
 		s.configure(now, e.config)
 	case Listed:
-		s.applyList(now, e)
+		if s.observeEra(now, e.era) {
+			s.applyList(now, e)
+		}
 	case ListFailed:
 		s.listFailed(now)
 	case StoreCompleted:
@@ -163,6 +167,9 @@
 const maxStoreBackoff = time.Second
 
 func (s *State) storeCompleted(now time.Time, e StoreCompleted) {
+	if !s.observeEra(now, e.result.Era()) {
+		e.result = object.NewLost(e.result.Ref())
+	}
 	switch e.component {
 	case PeerComponent:
 		s.reducePeer(now, peer.NewStoreCompleted(e.result))
@@ -249,6 +256,10 @@
 // tick runs all work that is due.
 func (s *State) tick(now time.Time) {
 	s.reducePeer(now, peer.NewTicked())
+	if released := s.listing.releaseHeldBack(now); len(released) > 0 {
+		changed, _ := s.listing.apply(now, Listed{upstreams: released}, 0)
+		s.applyListChanges(now, changed, nil)
+	}
 	if gone := s.listing.expire(now); len(gone) > 0 {
 		s.applyListChanges(now, nil, gone)
 	}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -245,7 +245,7 @@
 		s.listing.unavailable = true
 		return
 	}
-	changed, gone := s.listing.apply(now, Listed{update.changed, update.gone, update.complete}, absentGraceOtherReader)
+	changed, gone := s.listing.apply(now, Listed{upstreams: update.changed, gone: update.gone, complete: update.complete}, absentGraceOtherReader)
 	s.applyListChanges(now, changed, gone)
 	s.refreshReady()
 }
--- a/pkg/object/result.go
+++ b/pkg/object/result.go
@@ -4,13 +4,46 @@
 type Result interface {
 	// Ref returns the reference of the request.
 	Ref() Ref
+	// Era returns the era of the store that answered, 0 if unknown.
+	Era() uint64
 	isResult()
 }
 
-type resultBase struct{ ref Ref }
+type resultBase struct {
+	ref Ref
+	era uint64
+}
 
 func (r resultBase) Ref() Ref { return r.ref }
 
+func (r resultBase) Era() uint64 { return r.era }
+
+// InEra returns a result with the era of the store that answered. The era rises when the store continues from an older copy of
+// its objects: versions of an earlier era say nothing about the objects of a later one.
+func InEra(result Result, era uint64) Result {
+	switch r := result.(type) {
+	case Found:
+		r.era = era
+		return r
+	case Absent:
+		r.era = era
+		return r
+	case Stored:
+		r.era = era
+		return r
+	case Conflict:
+		r.era = era
+		return r
+	case Refused:
+		r.era = era
+		return r
+	case Lost:
+		r.era = era
+		return r
+	}
+	return result
+}
+
 func (resultBase) isResult() {}
 
 // Found is the result of a Get or Watch of an object that exists; a Watch returns one for each change.
@@ -22,7 +55,7 @@
 
 // NewFound returns the result of a read that found data (JSON) at version.
 func NewFound(ref Ref, version Version, data []byte) Found {
-	return Found{resultBase{ref}, version, data}
+	return Found{resultBase{ref: ref}, version, data}
 }
 
 // Version returns the version that was read.
@@ -35,7 +68,7 @@
 type Absent struct{ resultBase }
 
 // NewAbsent returns the result of a read that found nothing.
-func NewAbsent(ref Ref) Absent { return Absent{resultBase{ref}} }
+func NewAbsent(ref Ref) Absent { return Absent{resultBase{ref: ref}} }
 
 // Stored is the result of a write that took effect.
 type Stored struct {
@@ -44,7 +77,7 @@
 }
 
 // NewStored returns the result of a write that took effect as version.
-func NewStored(ref Ref, version Version) Stored { return Stored{resultBase{ref}, version} }
+func NewStored(ref Ref, version Version) Stored { return Stored{resultBase{ref: ref}, version} }
 
 // Version returns the version that the write created.
 func (s Stored) Version() Version { return s.version }
@@ -53,7 +86,7 @@
 type Conflict struct{ resultBase }
 
 // NewConflict returns the result of a write whose expected version is outdated.
-func NewConflict(ref Ref) Conflict { return Conflict{resultBase{ref}} }
+func NewConflict(ref Ref) Conflict { return Conflict{resultBase{ref: ref}} }
 
 // Refused is the result of a request that certainly took no effect: it was never sent, or the platform rejected it.
 type Refused struct {
@@ -62,7 +95,7 @@
 }
 
 // NewRefused returns the result of a request that took no effect, for reason.
-func NewRefused(ref Ref, reason string) Refused { return Refused{resultBase{ref}, reason} }
+func NewRefused(ref Ref, reason string) Refused { return Refused{resultBase{ref: ref}, reason} }
 
 // Reason returns why the request took no effect.
 func (r Refused) Reason() string { return r.reason }
@@ -71,4 +104,4 @@
 type Lost struct{ resultBase }
 
 // NewLost returns the result of a request whose response was lost.
-func NewLost(ref Ref) Lost { return Lost{resultBase{ref}} }
+func NewLost(ref Ref) Lost { return Lost{resultBase{ref: ref}} }
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is an input of the planner: Configured, Listed, Probed, Suspected, DeclaredDead, OrderAnswered, StoreCompleted,
-// LeadershipChanged, DemandReported, CallsArrived, Delayed or Ticked.
+// LeadershipChanged, DemandReported, CallsArrived, StoreEra, Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured carries what the engines can run.
@@ -115,6 +115,12 @@
 // NewCallsArrived returns the event that callers send calls.
 func NewCallsArrived() CallsArrived { return CallsArrived{} }
 
+// StoreEra carries the era of the store.
+type StoreEra struct{ era uint64 }
+
+// NewStoreEra returns the event that the store answers in this era, which rises when it continues from an older copy.
+func NewStoreEra(era uint64) StoreEra { return StoreEra{era} }
+
 // Delayed says that this daemon handles its events late.
 type Delayed struct{ lag time.Duration }
 
@@ -147,6 +153,8 @@
 
 func (CallsArrived) isEvent() {}
 
+func (StoreEra) isEvent() {}
+
 func (Delayed) isEvent() {}
 
 func (Ticked) isEvent() {}
--- a/pkg/replica/instance.go
+++ b/pkg/replica/instance.go
@@ -107,6 +107,23 @@
 	return i
 }
 
+// MergeOlder returns an instance as an older copy of the store has it, with what is known of it since: a later start, that it
+// leaves, and a newer membership.
+func (i Instance) MergeOlder(older Instance) Instance {
+	if older.incarnation < i.incarnation {
+		return i
+	}
+	if older.incarnation > i.incarnation {
+		return older
+	}
+	merged := older
+	merged.leaving = older.leaving || i.leaving
+	if i.membership.isNewerThan(older.membership, true) {
+		merged.membership, merged.loadedModel, merged.stagedModels = i.membership, i.loadedModel, i.stagedModels
+	}
+	return merged
+}
+
 // WithMembership returns the instance with its membership in a replica.
 func (i Instance) WithMembership(m Membership) Instance {
 	i.membership = m
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -62,7 +62,7 @@
 		if s.takeoverRecorded {
 			s.sendOrders(now)
 		}
-		if s.isPlanDue(now) {
+		if s.isPlanDue(now) && s.recoverRecord(now) {
 			s.lastPlan, s.isPlanUrgent, s.hasEventSincePlan = now, false, false
 			s.writePlan(now)
 		}
@@ -80,7 +80,7 @@
 	if !isChanged && s.takeoverRecorded {
 		return
 	}
-	next.epoch = s.record.epoch + 1
+	next.epoch, next.era = s.nextEpoch(), max(s.record.era, s.storeEra)
 	for i := range next.groups {
 		if next.groups[i].epoch == 0 {
 			next.groups[i].epoch = next.epoch
@@ -117,7 +117,8 @@
 	}
 	s.logChanges(r)
 	s.noteRemovals(r)
-	s.record, s.recordRead, s.takeoverRecorded = r, true, own
+	s.record, s.recordRead, s.takeoverRecorded, s.isRecordRecovered = r, true, own, false
+	s.noteEpoch(r.epoch)
 	s.lastReconcile = time.Time{}
 }
 
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -261,7 +261,7 @@
 // unusedName returns a replica name that is not in the draft. It contains the next epoch, so no earlier record used it.
 func (d *draft) unusedName() string {
 	for i := 1; ; i++ {
-		name := "r" + strconv.FormatUint(d.record.epoch+1, 10) + "-" + strconv.Itoa(i)
+		name := "r" + strconv.FormatUint(d.nextEpoch(), 10) + "-" + strconv.Itoa(i)
 		if !slices.ContainsFunc(d.next.groups, func(g group) bool { return g.name == name }) {
 			return name
 		}
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -103,6 +103,7 @@
 	s.setDead(n, false)
 	n.missedProbes = 0
 	s.isPlanUrgent = s.isPlanUrgent || isRestarted || report.membership.phase == PhaseBroken && previous.phase != PhaseBroken
+	s.noteEpoch(report.membership.epoch)
 	n.incarnation, n.loadedModel, n.stagedModels = report.incarnation, report.loadedModel, report.stagedModels
 	if isRestarted {
 		n.membership = report.membership
--- a/pkg/replica/record.go
+++ b/pkg/replica/record.go
@@ -9,7 +9,8 @@
 
 // record is the planned set of replicas. It is persisted in the store, and orders follow it.
 type record struct {
-	epoch  uint64 // incremented by each write
+	epoch  uint64 // higher with each write
+	era    uint64 // of the store, when it was written
 	groups []group
 }
 
@@ -40,7 +41,7 @@
 	for i := range groups {
 		groups[i].members = slices.Clone(groups[i].members)
 	}
-	return record{r.epoch, groups}
+	return record{r.epoch, r.era, groups}
 }
 
 // holds reports whether an instance belongs to a recorded replica.
@@ -52,6 +53,7 @@
 
 type recordWire struct {
 	Fence  uint64      `json:"fence"`
+	Era    uint64      `json:"era,omitempty"`
 	Groups []groupWire `json:"groups"`
 }
 
@@ -68,7 +70,7 @@
 }
 
 func (r record) encode() ([]byte, error) {
-	wire := recordWire{Fence: r.epoch, Groups: []groupWire{}}
+	wire := recordWire{Fence: r.epoch, Era: r.era, Groups: []groupWire{}}
 	for _, g := range r.groups {
 		one := groupWire{g.name, g.model, g.epoch, nil}
 		for _, m := range g.members {
@@ -89,7 +91,7 @@
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return record{}, trace.BadParameter("decode replica record: %v", err)
 	}
-	r := record{epoch: wire.Fence}
+	r := record{epoch: wire.Fence, era: wire.Era}
 	for _, one := range wire.Groups {
 		g := group{name: one.Name, model: one.Model, epoch: one.Epoch}
 		for _, m := range one.Members {
--- /dev/null
+++ b/pkg/replica/recovery.go
@@ -0,0 +1,172 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
+
+// The store may continue from an older copy of its objects. Replicas that were recorded since then run on and are not in the
+// record any more, and their members may appear in replicas of the older record. What the engines report decides: it has the
+// epoch of the latest order that each of them carried out. A leader that finds such a record asks all instances, records the
+// replicas that they report, and only then plans.
+
+const (
+	// confirmTimeout is how long a leader waits for the reports of all instances. Those that have not answered by then join no
+	// replica before they do.
+	confirmTimeout = 2 * time.Second
+
+	// epochsPerEra is how many epochs are skipped for each copy that the store has continued from, since the lost records used
+	// some of them. It is more than are recorded in the age of any copy, which is some seconds.
+	epochsPerEra = 1 << 12
+
+	// maxReportedEpoch is the highest epoch of a report that is believed. Fencing tokens contain the epoch.
+	maxReportedEpoch = 1 << 40
+)
+
+// setStoreEra applies the era of the store. If it has risen, a leader starts anew with the record that the store has now.
+func (s *State) setStoreEra(now time.Time, era uint64) {
+	hasRisen := s.storeEra != 0 && era > s.storeEra
+	s.storeEra = max(s.storeEra, era)
+	if hasRisen && s.leading {
+		s.restartLeading(now)
+	}
+}
+
+// restartLeading makes a leader read the record again, and ask each instance for its membership before it joins a replica.
+func (s *State) restartLeading(now time.Time) {
+	s.recordRead, s.takeoverRecorded = false, false
+	s.leadingSince = now
+	s.writer.Reset()
+}
+
+// isRecordOutdated reports whether the record may be older than what engines were ordered to do.
+func (s *State) isRecordOutdated() bool {
+	return s.record.era < s.storeEra && (s.record.epoch > 0 || s.highestEpoch > 0 || !s.settings.bootstrap)
+}
+
+// noteEpoch remembers the highest epoch that this daemon knows of.
+func (s *State) noteEpoch(epoch uint64) {
+	if epoch <= maxReportedEpoch {
+		s.highestEpoch = max(s.highestEpoch, epoch)
+	}
+}
+
+// nextEpoch returns the epoch of the next record. It is higher than all that were recorded before, also in lost records.
+func (s *State) nextEpoch() uint64 {
+	epoch := max(s.record.epoch, s.highestEpoch) + 1
+	if s.isRecordOutdated() {
+		epoch += (s.storeEra - s.record.era) * epochsPerEra
+	}
+	return epoch
+}
+
+// recoverRecord brings an outdated record up to date with the reports of the instances. It returns false while reports are
+// missing.
+func (s *State) recoverRecord(now time.Time) bool {
+	if !s.isRecordOutdated() || s.isRecordRecovered {
+		return true
+	}
+	isComplete := true
+	for _, id := range s.ids() {
+		if n := s.nodes[id]; n.isAlive() && n.membershipConfirmed.Before(s.leadingSince) {
+			isComplete = false
+			s.suspect(now, id)
+		}
+	}
+	if !isComplete && now.Sub(s.leadingSince) < confirmTimeout {
+		return false
+	}
+	s.isRecordRecovered = true
+	lost := s.record.groups
+	s.record.groups = s.reportedGroups()
+	for _, g := range lost {
+		if s.isReportedByMembers(g) {
+			s.record.groups = append(s.record.groups, g)
+		}
+	}
+	for _, g := range s.record.groups {
+		if !slices.ContainsFunc(lost, func(other group) bool { return other.name == g.name && other.epoch == g.epoch }) {
+			s.emit(LogEntry{"replica recovered", g.name, g.model, g.epoch, g.ids(), "reported by its members, not in the record"})
+		}
+	}
+	for _, g := range lost {
+		if !slices.ContainsFunc(s.record.groups, func(other group) bool { return other.name == g.name && other.epoch == g.epoch }) {
+			s.emit(LogEntry{"replica dropped", g.name, g.model, g.epoch, g.ids(), "in the record, reported by no member"})
+		}
+	}
+	return true
+}
+
+// reportedGroups returns the replicas that are newer than the record and complete by the reports of their members.
+func (s *State) reportedGroups() []group {
+	byEpoch := map[replicaEpoch][]*node{}
+	var keys []replicaEpoch
+	for _, id := range s.ids() {
+		n := s.nodes[id]
+		m := n.membership
+		if !n.isAlive() || n.leaving || m.epoch <= s.record.epoch || m.epoch > maxReportedEpoch || !m.isForming() {
+			continue
+		}
+		if byEpoch[m.replicaEpoch()] == nil {
+			keys = append(keys, m.replicaEpoch())
+		}
+		byEpoch[m.replicaEpoch()] = append(byEpoch[m.replicaEpoch()], n)
+	}
+	var groups []group
+	for _, key := range keys {
+		if g, isComplete := s.groupOf(key, byEpoch[key]); isComplete {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
+// isForming reports whether the member joins, is ready or serves.
+func (m Membership) isForming() bool {
+	return m.phase == PhaseJoining || m.phase == PhaseReady || m.phase == PhaseOpen
+}
+
+// groupOf returns the replica that consists of these members, and whether each rank of its model is among them once.
+func (s *State) groupOf(key replicaEpoch, members []*node) (group, bool) {
+	model, isKnown := s.modelOf(members)
+	if !isKnown || len(members) != model.ReplicaSize() {
+		return group{}, false
+	}
+	g := group{name: key.replica, model: model.Name(), epoch: key.epoch, members: make([]member, len(members))}
+	for _, n := range members {
+		rank := n.membership.rank
+		if rank < 0 || rank >= len(members) || g.members[rank].id != "" {
+			return group{}, false
+		}
+		g.members[rank] = member{n.id, n.incarnation}
+	}
+	return g, true
+}
+
+// modelOf returns the model that all members have loaded.
+func (s *State) modelOf(members []*node) (route.Model, bool) {
+	for _, n := range members {
+		if n.loadedModel != members[0].loadedModel {
+			return route.Model{}, false
+		}
+	}
+	return s.engine.Model(members[0].loadedModel)
+}
+
+// isReportedByMembers reports whether a member of a recorded replica reports it, and none a replica of a later epoch.
+func (s *State) isReportedByMembers(g group) bool {
+	isReported := false
+	for _, m := range g.members {
+		n := s.nodes[m.id]
+		if !n.isAlive() || n.membership.phase == PhaseNone {
+			continue
+		}
+		if n.membership.epoch > g.epoch {
+			return false
+		}
+		isReported = isReported || n.membership.isIn(g.name, g.epoch)
+	}
+	return isReported
+}
--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -63,6 +63,9 @@
 	daemons       []*simDaemon
 	storedValue   []byte // the record in the store
 	storedVersion int
+	stored        []simStored // all versions, the latest last
+	era           uint64
+	noEras        bool // the store reports no era
 	storeUp       bool
 	scheduled     []simEvent
 	violations    []string
@@ -70,6 +73,7 @@
 	orders        int
 	loadStarts    []time.Time
 	logEntries    []string
+	staleReplies  int
 }
 
 type simDaemon struct {
@@ -81,7 +85,7 @@
 }
 
 func newSimulation(domains, perDomain, daemons int) *simulation {
-	sim := &simulation{now: simStart, storeUp: true}
+	sim := &simulation{now: simStart, storeUp: true, era: 1}
 	for d := range domains {
 		for i := range perDomain {
 			sim.engines = append(sim.engines, &simEngine{
@@ -265,6 +269,9 @@
 		sim.feed(d, NewStoreCompleted(object.NewRefused(request.Ref(), "down")))
 		return
 	}
+	if !sim.noEras {
+		sim.feed(d, NewStoreEra(sim.era))
+	}
 	version := object.Version("")
 	if sim.storedVersion > 0 {
 		version = object.Version(strconv.Itoa(sim.storedVersion))
@@ -283,10 +290,30 @@
 		}
 		sim.storedVersion++
 		sim.storedValue = r.Data()
+		sim.stored = append(sim.stored, simStored{sim.now, sim.storedVersion, sim.storedValue})
 		sim.feed(d, NewStoreCompleted(object.NewStored(r.Ref(), object.Version(strconv.Itoa(sim.storedVersion)))))
 	}
 }
 
+// simStored is one version of the record in the store.
+type simStored struct {
+	at      time.Time
+	version int
+	value   []byte
+}
+
+// restoreStore makes the store continue from a copy of this age.
+func (sim *simulation) restoreStore(age time.Duration) {
+	sim.era++
+	for len(sim.stored) > 0 && sim.now.Sub(sim.stored[len(sim.stored)-1].at) < age {
+		sim.stored = sim.stored[:len(sim.stored)-1]
+	}
+	sim.storedVersion, sim.storedValue = 0, nil
+	if n := len(sim.stored); n > 0 {
+		sim.storedVersion, sim.storedValue = sim.stored[n-1].version, sim.stored[n-1].value
+	}
+}
+
 // order delivers an order to its engine, unless dropOrder drops or delays it.
 func (sim *simulation) order(d *simDaemon, o Order) {
 	if sim.dropOrder != nil {
@@ -304,7 +331,11 @@
 			sim.after(500*time.Millisecond, func() { sim.feed(d, NewOrderAnswered(o, ReplyUnanswered)) })
 			return
 		}
-		sim.feed(d, NewOrderAnswered(o, sim.execute(o)))
+		reply := sim.execute(o)
+		if reply == ReplyStale {
+			sim.staleReplies++
+		}
+		sim.feed(d, NewOrderAnswered(o, reply))
 	})
 }
 
@@ -430,3 +461,14 @@
 func (sim *simulation) open(d int, model route.Model) int {
 	return len(sim.daemons[d].state.Heads(model.Name()))
 }
+
+// openByEngines returns how many heads accept calls.
+func (sim *simulation) openByEngines() int {
+	count := 0
+	for _, e := range sim.engines {
+		if !e.down && e.membership.phase == PhaseOpen && e.membership.rank == 0 {
+			count++
+		}
+	}
+	return count
+}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -17,6 +17,8 @@
 	sortedIDs      []ID              // of the nodes
 	deadIDs        map[ID]bool       // of the nodes that do not answer probes
 	heads          map[string][]Head // by model
+	storeEra       uint64            // 0 if unknown
+	highestEpoch   uint64            // of the records and the reports that this daemon has seen
 	lastEvent      time.Time
 	lag            clock.Lag // of this daemon
 	probesInFlight int
@@ -32,6 +34,7 @@
 	refs              object.Refs
 	recordRead        bool // since this daemon became the leader
 	takeoverRecorded  bool // this daemon wrote the current record
+	isRecordRecovered bool // the current record was brought up to date with the reports of the instances
 	orderCount        uint64
 	ordersInFlight    int // sent and neither answered nor expired
 	lastOrders        map[ID]map[Verb]*sentOrder
@@ -121,6 +124,9 @@
 		s.updateDemand(e.demand)
 		s.isPlanUrgent = true
 		isInstanceEvent = false
+	case StoreEra:
+		s.setStoreEra(now, e.era)
+		isInstanceEvent = false
 	case Delayed:
 		s.lag.Observe(now, e.lag)
 		isInstanceEvent = false
@@ -194,6 +200,7 @@
 		i.membership.phase == PhaseBroken && known.phase != PhaseBroken
 	n.Instance = i
 	n.updateMembership(now, known, i.membership)
+	s.noteEpoch(i.membership.epoch)
 	s.noteClosed(known, n)
 	n.rememberModel()
 }
