gateway, platform: Send nothing new to an upstream that says in an answer that it leaves

What callers would have seen: calls sent to an upstream that had already said that it leaves, until its entry in the list changed, and cut off when it ended. Nothing read the header Server-Leaving. Change: the header in any answer (to a request, an order or a probe; not with status 421, which is another upstream's) marks this start of the upstream as leaving at that daemon at once, whatever its entry says later, and a fact tells the other daemons. A replica with such a member is replaced as for a planned leave; running streams end as before. A later start begins without it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,8 @@
 
 	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/gateway"
+	"github.com/azurepond/azurepond/pkg/replica"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -55,6 +57,9 @@
 		return false
 	}
 	class := e.daemon.adapter.Headers.ClassifyAnswer(answer.Response)
+	if class.Leaving {
+		e.daemon.enqueue(gateway.NewLeavingReported(replica.ID(send.Upstream())))
+	}
 	switch {
 	case class.Failure == dispatch.Errored:
 		return e.bufferError(ctx, send, answer, class)
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -55,6 +55,8 @@
 	case gateway.StoreAnswerOutdated:
 		d.recorder.StoreAnswerOutdated()
 		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
+	case gateway.UpstreamLeaves:
+		d.log.Info("upstream", "leaves", "upstream", effect.ID(), "source", effect.Source())
 	case gateway.ShardOwnersChanged:
 		d.log.Info("dispatch", "shard owners", "count", len(effect.Owners()), "owners", effect.Owners())
 	case gateway.PeerEffect:
@@ -155,10 +157,13 @@
 func (d *Daemon) sendOrder(order replica.Order) {
 	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 	defer cancel()
-	reply := d.adapter.Engines.Order(ctx, order)
+	reply, leaving := d.adapter.Engines.Order(ctx, order)
 	d.recorder.OrderAnswered(order.Verb().String(), reply.String())
 	d.log.Info("replica", "order", "verb", order.Verb(), "instance", order.ID(), "replica", order.Replica(),
 		"epoch", order.Epoch(), "token", order.FencingToken(), "reply", reply)
+	if leaving {
+		d.enqueue(gateway.NewLeavingReported(order.ID()))
+	}
 	d.enqueue(gateway.NewReplicaEvent(replica.NewOrderAnswered(order, reply)))
 }
 
@@ -177,6 +182,9 @@
 		return
 	}
 	d.recorder.ProbeEnded("answered")
+	if instance.Leaving() {
+		d.enqueue(gateway.NewLeavingReported(probe.ID()))
+	}
 	d.enqueue(gateway.NewReplicaEvent(replica.NewProbed(instance)))
 }
 
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -72,6 +72,8 @@
 		s.receiveDeath(now, fact)
 	case crashTopic:
 		s.receivePoison(now, fact)
+	case leavingTopic:
+		s.receiveLeaving(now, fact)
 	}
 }
 
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -77,6 +77,12 @@
 // NewListFailed returns the event that the platform's list can't be read.
 func NewListFailed() ListFailed { return ListFailed{} }
 
+// LeavingReported reports that an upstream says in an answer that it leaves.
+type LeavingReported struct{ id replica.ID }
+
+// NewLeavingReported returns the event that the upstream called id says that it leaves.
+func NewLeavingReported(id replica.ID) LeavingReported { return LeavingReported{id} }
+
 // Component identifies a state machine within the daemon.
 type Component uint8
 
@@ -138,6 +144,8 @@
 
 func (Listed) isEvent() {}
 
+func (LeavingReported) isEvent() {}
+
 func (ListFailed) isEvent() {}
 
 func (StoreCompleted) isEvent() {}
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -29,8 +29,9 @@
 	entries          map[replica.ID]Upstream
 	absent           map[replica.ID]time.Time // when they are to be removed
 	known            bool
-	unavailable      bool      // neither this daemon nor its source can read the list; entries are kept
-	storeRecoveredAt time.Time // end of the last outage seen by this daemon
+	unavailable      bool                 // neither this daemon nor its source can read the list; entries are kept
+	storeRecoveredAt time.Time            // end of the last outage seen by this daemon
+	left             map[replica.ID]int64 // incarnations of the upstreams that said that they leave
 	removed          map[replica.ID]removal
 	isRestored       bool // the next complete list is of an older copy of the store
 	heldBack         map[replica.ID]heldEntry
@@ -53,6 +54,7 @@
 func (l *listing) apply(now time.Time, e Listed, absentGrace time.Duration) (changed []Upstream, gone []replica.ID) {
 	if l.entries == nil {
 		l.entries, l.absent = map[replica.ID]Upstream{}, map[replica.ID]time.Time{}
+		l.left = map[replica.ID]int64{}
 		l.removed, l.heldBack = map[replica.ID]removal{}, map[replica.ID]heldEntry{}
 	}
 	isRestored := l.isRestored && e.complete
@@ -70,6 +72,7 @@
 		if known, isKnown := l.entries[id]; isKnown {
 			u = known.merge(u, isRestored)
 		}
+		u = l.markLeft(u)
 		l.entries[id] = u
 		changed = append(changed, u)
 	}
@@ -118,11 +121,36 @@
 	for id, r := range l.removed {
 		if now.Sub(r.at) > removalMemory {
 			delete(l.removed, id)
+			delete(l.left, id)
 		}
 	}
 	return gone
 }
 
+// markLeft returns the entry as leaving if this start of its upstream said so.
+func (l *listing) markLeft(u Upstream) Upstream {
+	incarnation, hasLeft := l.left[u.instance.ID()]
+	switch {
+	case !hasLeft:
+	case incarnation == u.instance.Incarnation():
+		u.instance = u.instance.WithLeaving(true)
+	case incarnation < u.instance.Incarnation():
+		delete(l.left, u.instance.ID())
+	}
+	return u
+}
+
+// leave marks the listed start of an upstream as leaving, and reports whether that is new.
+func (l *listing) leave(id replica.ID, incarnation int64) bool {
+	u, isListed := l.entries[id]
+	if !isListed || u.instance.Incarnation() != incarnation || u.instance.Leaving() {
+		return false
+	}
+	l.left[id] = incarnation
+	l.entries[id] = l.markLeft(u)
+	return true
+}
+
 // restore prepares for the list of a store that continues from an older copy. What upstreams have written since is missing from
 // it until they write it again.
 func (l *listing) restore(now time.Time) {
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -72,6 +72,8 @@
 		}
 	case ListFailed:
 		s.listFailed(now)
+	case LeavingReported:
+		s.reportLeaving(now, e.id)
 	case StoreCompleted:
 		s.storeCompleted(now, e)
 	case Stopping:
