dispatch, replica, platform: Send nothing to an upstream for the time that it names in a 503

What callers would have seen: calls sent to an upstream that had asked for a pause, refused again, and retried until their attempts were spent. Nothing read an upstream's Retry-After. Afterwards one call is a trial, and each answer doubles how many may run there. While all upstreams of a call turn this daemon away, it waits if the first return is in time, and is refused at once with that time otherwise, with jitter.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -30,8 +30,9 @@
 type Classification struct {
 	Failure        dispatch.Failure // NoFailure for a success
 	Load           dispatch.Load
-	FaultyUpstream string // the upstream that prevents this one from running the request, empty for none
-	Leaving        bool   // the upstream says that it leaves
+	FaultyUpstream string        // the upstream that prevents this one from running the request, empty for none
+	Leaving        bool          // the upstream says that it leaves
+	RetryAfter     time.Duration // for which the upstream wants nothing from this daemon, 0 for none
 }
 
 // Store is the platform's object API.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,6 +57,9 @@
 		return false
 	}
 	class := e.daemon.adapter.Headers.ClassifyAnswer(answer.Response)
+	if class.RetryAfter > 0 {
+		e.daemon.enqueueDispatch(dispatch.NewTurnedAway(send.Attempt(), class.RetryAfter))
+	}
 	if class.Leaving {
 		e.daemon.enqueue(gateway.NewLeavingReported(replica.ID(send.Upstream())))
 	}
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -75,6 +75,11 @@
 		nil,
 		"answers", "Answers of the store that were dropped, since they were of an earlier era.",
 	}
+	Upstreams = Metric{
+		"azurepond_upstreams",
+		[]string{"state"},
+		"upstreams", "Listed upstreams that leave (leaving), and upstreams that want nothing from this daemon now (turning away).",
+	}
 	Lag = Metric{
 		"azurepond_lag_milliseconds",
 		nil,
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -184,6 +184,18 @@
 // Reason returns the observation behind the suspicion.
 func (s Suspect) Reason() string { return s.reason }
 
+// Quiet reports that an upstream wants nothing from this daemon for a time.
+type Quiet struct {
+	upstream string
+	until    time.Time
+}
+
+// Upstream returns the upstream.
+func (q Quiet) Upstream() string { return q.upstream }
+
+// Until returns the end of that time.
+func (q Quiet) Until() time.Time { return q.until }
+
 // The decisions on requests, as written to logs and metrics.
 const (
 	NoteSent             = "sent"
@@ -193,6 +205,7 @@
 	NoteFailed           = "failed"
 	NoteFailureForwarded = "failure passed on"
 	NoteDropped          = "dropped"
+	NoteTurnedAway       = "turned away"
 	NoteAttempt          = "attempt failed"
 )
 
@@ -282,6 +295,8 @@
 
 func (Suspect) isEffect() {}
 
+func (Quiet) isEffect() {}
+
 func (Note) isEffect() {}
 
 // Reason is the reason why a request got no response from an upstream.
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -117,6 +117,17 @@
 	return f
 }
 
+// TurnedAway reports that the upstream of an attempt wants nothing from this daemon for a time.
+type TurnedAway struct {
+	attempt AttemptID
+	wait    time.Duration
+}
+
+// NewTurnedAway returns the event that the upstream of an attempt wants nothing from this daemon for wait.
+func NewTurnedAway(attempt AttemptID, wait time.Duration) TurnedAway {
+	return TurnedAway{attempt, wait}
+}
+
 // SlotStatus is the result of a slot request.
 type SlotStatus uint8
 
@@ -302,6 +313,8 @@
 
 func (Delayed) isEvent() {}
 
+func (TurnedAway) isEvent() {}
+
 func (Ticked) isEvent() {}
 
 // WithFailure returns the event with another failure.
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -208,7 +208,7 @@
 	u := s.upstream(e.upstream)
 	targets := s.targets(up, c)
 	i := slices.IndexFunc(targets, func(t Target) bool { return t.name == e.upstream })
-	if i < 0 || now.Before(u.avoidUntil) {
+	if i < 0 || !u.isAvailable(now) {
 		return false
 	}
 	t := targets[i]
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -56,6 +56,7 @@
 	}
 	s.removeAttempt(now, a)
 	s.recordSuccess(now, a.call)
+	a.upstream.countTrial()
 	s.finish(now, a.call, NoteAnswered, a.target(), "")
 	s.serveQueue(now, up)
 }
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -18,7 +18,7 @@
 
 // place finds an upstream for a call; a new call for a model needs a slot at a replica first.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
-	if s.needsSlot(c) && len(s.targets(up, c)) > 0 {
+	if s.needsSlot(c) && len(s.targets(up, c)) > 0 && s.untilReturn(now, up, c) == 0 {
 		s.requestSlot(now, up, c)
 		return
 	}
@@ -109,7 +109,7 @@
 func (s *State) evaluate(now time.Time, c *call, t Target) (candidate, bool) {
 	u := s.upstream(t.name)
 	result := candidate{target: t, upstream: u, calls: u.estimatedCalls(now)}
-	if now.Before(u.avoidUntil) {
+	if !u.isAvailable(now) {
 		return result, false
 	}
 	if s.isModelCall(c) {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -51,7 +51,7 @@
 
 // enqueue queues a call that no upstream has room for, or refuses it if its expected wait is too long.
 func (s *State) enqueue(now time.Time, up Upstreams, c *call, upstreams int) {
-	expected := s.expectedWait(now, up, c)
+	expected := max(s.expectedWait(now, up, c), s.untilReturn(now, up, c))
 	if now.Add(expected).After(s.waitDeadline(c)) {
 		s.giveUp(now, c, Overload, s.retryAfter(now, up, c))
 		return
@@ -148,8 +148,11 @@
 }
 
 // retryAfter returns the Retry-After time of a refused call: the expected wait, with jitter so that refused callers do
-// not retry at the same time.
+// not retry at the same time. While all upstreams turn this daemon away, it is the time of the first return.
 func (s *State) retryAfter(now time.Time, up Upstreams, c *call) time.Duration {
+	if wait := s.untilReturn(now, up, c); wait > 0 {
+		return wait + time.Duration(s.random.Float64()*float64(returnSpread))
+	}
 	longest := time.Duration(maxRetryAfterRatio * float64(c.deadline.Sub(now)))
 	wait := max(s.expectedWait(now, up, c), minRetryAfter)
 	wait += time.Duration(s.random.Float64() * float64(wait))
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -37,7 +37,10 @@
 	timers       []timer
 	opensAt      time.Time // when the next replica opens, zero for now
 	retryAfter   map[ID]time.Duration
-	failWith     func(Send) Failure // returns the failure of an attempt, NoFailure for success
+	failWith     func(Send) Failure       // returns the failure of an attempt, NoFailure for success
+	turnAwayFor  map[string]time.Duration // upstreams that turn requests away, with the time that they name
+	sentTo       map[string]int           // requests, by upstream
+	maxRunning   map[string]int           // requests that ran at once, by upstream
 }
 
 type timer struct {
@@ -50,6 +53,7 @@
 		now: epoch, runningCalls: map[string]int{}, firstEvent: map[ID]time.Duration{}, arrived: map[ID]time.Time{},
 		organisation: map[ID]string{}, refused: map[ID]bool{}, failed: map[ID]Reason{}, forwarded: map[ID]bool{}, sends: map[ID]int{}, running: map[AttemptID]Send{},
 		failWith: func(Send) Failure { return NoFailure }, retryAfter: map[ID]time.Duration{},
+		turnAwayFor: map[string]time.Duration{}, sentTo: map[string]int{}, maxRunning: map[string]int{},
 	}
 	for i := range replicas {
 		sim.targets = append(sim.targets, NewTarget(fmt.Sprintf("h%d", i), fmt.Sprintf("10.0.0.%d:1", i), true, replicaSlotCount))
@@ -126,12 +130,21 @@
 
 func (sim *simulation) send(send Send) {
 	a := send.Attempt()
+	sim.sentTo[send.Upstream()]++
+	if wait := sim.turnAwayFor[send.Upstream()]; wait > 0 {
+		sim.after(5*time.Millisecond, func() {
+			sim.feed(NewTurnedAway(a, wait))
+			sim.feed(NewFailed(a, NotRun))
+		})
+		return
+	}
 	if failure := sim.failWith(send); failure != NoFailure {
 		sim.after(5*time.Millisecond, func() { sim.feed(NewFailed(a, failure)) })
 		return
 	}
 	sim.running[a] = send
 	sim.runningCalls[send.Upstream()]++
+	sim.maxRunning[send.Upstream()] = max(sim.maxRunning[send.Upstream()], sim.runningCalls[send.Upstream()])
 	sim.after(firstEventDelay, func() {
 		sim.feed(NewStarted(a, NewLoad(sim.runningCalls[send.Upstream()], 0, replicaSlotCount)))
 		if _, isKnown := sim.firstEvent[send.ID()]; !isKnown {
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -130,12 +130,18 @@
 	if s.sendSlotMessage(now, effect) {
 		return
 	}
-	suspect, isSuspect := effect.(dispatch.Suspect)
-	if !isSuspect {
+	switch effect := effect.(type) {
+	case dispatch.Quiet:
+		s.reduceReplica(now, replica.NewQuietRequested(replica.ID(effect.Upstream()), effect.Until()))
+	case dispatch.Suspect:
+		s.suspect(now, replica.ID(effect.Upstream()))
+	default:
 		s.emit(DispatchEffect{effect})
-		return
 	}
-	id := replica.ID(suspect.Upstream())
+}
+
+// suspect probes all members of the replica of an instance.
+func (s *State) suspect(now time.Time, id replica.ID) {
 	members := s.replica.Members(id)
 	if len(members) == 0 {
 		members = []replica.ID{id}
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -63,7 +63,12 @@
 	stats := Stats{
 		active: s.dispatch.Active(), queued: s.dispatch.Queued(),
 		awaitingSlot: s.dispatch.AwaitingSlot(), slotWaiters: s.dispatch.SlotWaiters(),
-		retriesLeft: map[string]float64{}, lag: s.lag.TakeLongest(),
+		retriesLeft: map[string]float64{}, lag: s.lag.TakeLongest(), turningAway: s.dispatch.TurningAway(now),
+	}
+	for _, u := range s.listing.entries {
+		if u.instance.Leaving() {
+			stats.leaving++
+		}
 	}
 	for _, service := range s.config.Services() {
 		stats.retriesLeft[service.Name()] = s.dispatch.RetriesLeft(now, service.Name())
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -67,6 +67,12 @@
 // Leader returns the name of the leader, empty for none.
 func (l LeaderChanged) Leader() string { return l.leader }
 
+// Leaving returns how many listed upstreams leave.
+func (s Stats) Leaving() int { return s.leaving }
+
+// TurningAway returns how many upstreams want nothing from this daemon now.
+func (s Stats) TurningAway() int { return s.turningAway }
+
 // ShardOwnersChanged reports the daemons that grant the slots of the replicas, as this daemon sees them.
 type ShardOwnersChanged struct{ owners []string }
 
@@ -90,6 +96,8 @@
 	slotWaiters  int
 	retriesLeft  map[string]float64
 	lag          time.Duration
+	leaving      int
+	turningAway  int
 }
 
 // Active returns how many requests have not ended.
@@ -131,7 +139,7 @@
 // Effect returns the effect of pkg/replica.
 func (r ReplicaEffect) Effect() replica.Effect { return r.effect }
 
-// DispatchEffect is an effect of pkg/dispatch, except Suspect and the messages to other daemons.
+// DispatchEffect is an effect of pkg/dispatch, except Suspect, Quiet and the messages to other daemons.
 type DispatchEffect struct{ effect dispatch.Effect }
 
 // Effect returns the effect of pkg/dispatch.
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -8,7 +8,8 @@
 )
 
 // Event is an input of the planner: Configured, Listed, Probed, Suspected, DeclaredDead, OrderAnswered, StoreCompleted,
-// LeadershipChanged, DemandReported, CallsArrived, StoreEra, Delayed or Ticked.
+// LeadershipChanged, DemandReported, CallsArrived, StoreEra, QuietRequested,
+// Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured carries what the engines can run.
@@ -121,6 +122,15 @@
 // NewStoreEra returns the event that the store answers in this era, which rises when it continues from an older copy.
 func NewStoreEra(era uint64) StoreEra { return StoreEra{era} }
 
+// QuietRequested says that an instance wants nothing from this daemon for a time.
+type QuietRequested struct {
+	id    ID
+	until time.Time
+}
+
+// NewQuietRequested returns the event that the instance called id wants nothing from this daemon before until.
+func NewQuietRequested(id ID, until time.Time) QuietRequested { return QuietRequested{id, until} }
+
 // Delayed says that this daemon handles its events late.
 type Delayed struct{ lag time.Duration }
 
@@ -155,6 +165,8 @@
 
 func (StoreEra) isEvent() {}
 
+func (QuietRequested) isEvent() {}
+
 func (Delayed) isEvent() {}
 
 func (Ticked) isEvent() {}
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -27,8 +27,12 @@
 	s.probe(now, id, n)
 }
 
-// probe sends a probe to an instance, or queues it while too many probes run.
+// probe sends a probe to an instance, or queues it while too many probes run. An instance that wants nothing from this daemon is
+// not probed.
 func (s *State) probe(now time.Time, id ID, n *node) {
+	if now.Before(n.quietUntil) {
+		return
+	}
 	n.probing = true
 	if s.probesInFlight >= maxProbesInFlight {
 		n.probeQueued = true
--- a/pkg/replica/probe_test.go
+++ b/pkg/replica/probe_test.go
@@ -85,3 +85,18 @@
 		So(p.dead, ShouldBeTrue)
 	})
 }
+
+func TestQuietInstance(t *testing.T) {
+	Convey("An instance that wants nothing from this daemon is not probed before the end of that time", t, func() {
+		p := newProber(0)
+		p.feed(NewProbed(NewInstance("i", "10.0.0.1:1", "c", "d", 1)))
+		p.probe = Probe{}
+		p.feed(NewQuietRequested("i", p.now.Add(3*time.Second)))
+		p.now = p.now.Add(2 * time.Second)
+		p.feed(NewSuspected("i"))
+		So(p.probe, ShouldResemble, Probe{})
+		p.now = p.now.Add(time.Second)
+		p.feed(NewSuspected("i"))
+		So(p.probe.ID(), ShouldEqual, ID("i"))
+	})
+}
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -67,6 +67,7 @@
 	lastProbe           time.Time // when the last probe was sent
 	probing             bool      // a probe runs or is queued
 	probeQueued         bool
+	quietUntil          time.Time     // wants no probes of this daemon before
 	probeTimeout        time.Duration // of the last probe
 }
 
@@ -127,6 +128,11 @@
 	case StoreEra:
 		s.setStoreEra(now, e.era)
 		isInstanceEvent = false
+	case QuietRequested:
+		if n := s.nodes[e.id]; n != nil {
+			n.quietUntil = e.until
+		}
+		isInstanceEvent = false
 	case Delayed:
 		s.lag.Observe(now, e.lag)
 		isInstanceEvent = false
