dispatch: Tell callers the time of the next opening, not a third of their time

What callers saw: while no replica of their model opened in time, a Retry-After that was cut to a third of what was left to them, at which we knew that nothing would be open. They came back and were refused again. Change: the time of the opening with its jitter, also if it is after the caller's deadline.

--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -66,18 +66,14 @@
 		up.NextOpening(now, c.model).After(s.waitDeadline(c))
 }
 
-// openingRetryAfter returns the Retry-After time of a call that is refused because no replica is open. Jitter spreads the
-// retries, since they all need a prefill.
+// openingRetryAfter returns the Retry-After time of a call that is refused because no replica is open: when one may open, also if
+// that is after the caller's deadline. Jitter spreads the retries, since they all need a prefill.
 func (s *State) openingRetryAfter(now time.Time, up Upstreams, c *call) time.Duration {
-	wait := up.NextOpening(now, c.model).Sub(now) + time.Duration(s.random.Float64()*float64(openingSpread))
-	return min(wait, time.Duration(maxOpeningRetryRatio*float64(c.deadline.Sub(now))))
+	return up.NextOpening(now, c.model).Sub(now) + time.Duration(s.random.Float64()*float64(openingSpread))
 }
 
-// The limits of the Retry-After time while no replica is open.
-const (
-	openingSpread        = 500 * time.Millisecond // in which a replica prefills the prompts of a few dozen calls
-	maxOpeningRetryRatio = 0.33                   // of the time left to the caller; callers respect no longer ones
-)
+// openingSpread is the time over which the callers return that were refused because no replica was open.
+const openingSpread = 500 * time.Millisecond // in which a replica prefills the prompts of a few dozen calls
 
 // choose returns an upstream with room for a call, and the number of untried upstreams, with room or without.
 func (s *State) choose(now time.Time, up Upstreams, c *call) (best candidate, untried int, isFound bool) {
