dispatch: Choose the queue policy of simulations by one type

Four flags in the state, copied into each slot table, were for tests only. They are types of a sealed interface now, so that the next earlier policy to compare with is a type and not a fifth flag.

--- a/pkg/dispatch/backlog_test.go
+++ b/pkg/dispatch/backlog_test.go
@@ -33,7 +33,7 @@
 
 func TestLastingOverload(t *testing.T) {
 	Convey("In an overload that lasts, slots go to calls that can be on time, and the others are refused early", t, func() {
-		before, now := overload(func(s *State) { s.withoutOverloadLimit = true }, 0), overload(func(*State) {}, 0)
+		before, now := overload(func(s *State) { s.policy = noOverloadLimit{} }, 0), overload(func(*State) {}, 0)
 		onTimeBefore, servedBefore := before.onTime()
 		onTime, served := now.onTime()
 		// An offline schedule serves the arrivals of 3 s, and the capacity of the next 15 s.
@@ -47,7 +47,7 @@
 
 	Convey("They are on time even if the first event takes longer than estimated, since the youngest call goes first", t, func() {
 		const slowFirstEvent = 200 * time.Millisecond // the estimate for a full replica is 121 ms
-		byArrival := overload(func(s *State) { s.withoutYoungestFirst = true }, slowFirstEvent)
+		byArrival := overload(func(s *State) { s.policy = oldestFirst{} }, slowFirstEvent)
 		youngestFirst := overload(func(*State) {}, slowFirstEvent)
 		onTimeByArrival, _ := byArrival.onTime()
 		onTime, _ := youngestFirst.onTime()
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -65,7 +65,9 @@
 		WithOrganisation(route.NewOrganisation("two", 0, false), "two")
 	for i := range daemons {
 		daemon := New(NewSettings(uint64(i+1), NewRetryLimits(0.2, 100, 10*time.Second)))
-		daemon.withoutSlots = withoutSlots
+		if withoutSlots {
+			daemon.policy = noSlots{}
+		}
 		cl.daemons = append(cl.daemons, &daemon)
 		cl.feed(i, NewConfigured(config))
 		cl.feed(i, NewBudgetPeersChanged(daemons))
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -72,7 +72,9 @@
 const maxShardLoadAge = time.Second
 
 // needsSlot reports whether a call needs a slot before it is sent. A retry does not, to avoid further delay.
-func (s *State) needsSlot(c *call) bool { return !s.withoutSlots && c.sends == 0 && s.isModelCall(c) }
+func (s *State) needsSlot(c *call) bool {
+	return requestsSlots(s.policy) && c.sends == 0 && s.isModelCall(c)
+}
 
 // requestSlot requests a slot for a call: first a free one in up to maxShardTries shards, then one to wait for in the
 // least loaded shard. It places the call without a slot if there is no shard or its owner recently did not reply.
--- a/pkg/dispatch/overload.go
+++ b/pkg/dispatch/overload.go
@@ -33,7 +33,7 @@
 
 // isOverloaded reports whether the overload of a shard lasts.
 func (t *slotTable) isOverloaded(now time.Time) bool {
-	return !t.withoutOverloadLimit && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
+	return limitsOverload(t.policy) && t.offersExceedGrants(now) && now.Sub(t.balancedAt) > overloadDelay
 }
 
 // longestWait returns how long a call may be expected to wait for a slot.
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -28,7 +28,7 @@
 // placeWithoutSlot sends a call to the upstream with the lowest cost, queues it if none has room, or refuses it.
 func (s *State) placeWithoutSlot(now time.Time, up Upstreams, c *call) {
 	best, upstreams, isFound := s.choose(now, up, c)
-	if isFound && (s.fifo || !s.hasQueued(c)) {
+	if isFound && (!isByUrgency(s.policy) || !s.hasQueued(c)) {
 		s.send(now, c, best, upstreams)
 		return
 	}
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -69,7 +69,7 @@
 func (s *State) expectedWait(now time.Time, up Upstreams, c *call) time.Duration {
 	ahead := 0
 	for _, other := range s.queue {
-		if other != c && other.queueKey() == c.queueKey() && (s.fifo || s.compare(now, other, c) < 0) {
+		if other != c && other.queueKey() == c.queueKey() && (!isByUrgency(s.policy) || s.compare(now, other, c) < 0) {
 			ahead++
 		}
 	}
@@ -117,7 +117,7 @@
 		return
 	}
 	waiting := slices.Clone(s.queue)
-	if !s.fifo {
+	if isByUrgency(s.policy) {
 		slices.SortStableFunc(waiting, func(a, b *call) int { return s.compare(now, a, b) })
 	}
 	full := map[string]bool{}
--- a/pkg/dispatch/queue_test.go
+++ b/pkg/dispatch/queue_test.go
@@ -11,9 +11,9 @@
 const capacity = 4 * replicaSlotCount / 0.8
 
 // burst simulates a burst of twice the capacity for three seconds, with calls at 0.6 of the capacity before and after.
-func burst(fifo bool) *simulation {
+func burst(p policy) *simulation {
 	sim := newSimulation(4, 1)
-	sim.state.fifo, sim.state.withoutSlots = fifo, fifo
+	sim.state.policy = p
 	sim.arrivals(1, "large", capacity*0.6, 4*time.Second, 1)
 	sim.after(4*time.Second, func() { sim.arrivals(10_000, "large", capacity*2, 3*time.Second, 2) })
 	sim.after(7*time.Second, func() { sim.arrivals(20_000, "large", capacity*0.6, 6*time.Second, 3) })
@@ -23,7 +23,7 @@
 
 func TestBurst(t *testing.T) {
 	Convey("In a burst, requests that can meet their goal go first", t, func() {
-		byArrival, byUrgency := burst(true), burst(false)
+		byArrival, byUrgency := burst(arrivalOrder{}), burst(nil)
 		Printf("\non time: %.3f in order of arrival, %.3f by urgency\n", byArrival.onTime(""), byUrgency.onTime(""))
 		So(byUrgency.onTime(""), ShouldBeGreaterThan, byArrival.onTime("")+0.05)
 		So(byUrgency.state.Active(), ShouldEqual, 0)
@@ -31,7 +31,7 @@
 	})
 
 	Convey("A refused request was never sent", t, func() {
-		sim := burst(false)
+		sim := burst(nil)
 		So(len(sim.refused), ShouldBeGreaterThan, 0)
 		for id := range sim.refused {
 			So(sim.sends[id], ShouldEqual, 0)
@@ -93,16 +93,16 @@
 }
 
 func TestFloodingOrganisation(t *testing.T) {
-	flood := func(fifo bool) *simulation {
+	flood := func(p policy) *simulation {
 		sim := newSimulation(4, 1)
-		sim.state.fifo, sim.state.withoutSlots = fifo, fifo
+		sim.state.policy = p
 		sim.arrivals(1, "large", capacity*2, 8*time.Second, 1)
 		sim.arrivals(50_000, "small", capacity*0.1, 8*time.Second, 2)
 		sim.run(20 * time.Second)
 		return sim
 	}
 	Convey("An organisation that floods does not starve a small one", t, func() {
-		byArrival, byUrgency := flood(true), flood(false)
+		byArrival, byUrgency := flood(arrivalOrder{}), flood(nil)
 		Printf("\non time of the small organisation: %.3f in order of arrival, %.3f by urgency\n", byArrival.onTime("small"), byUrgency.onTime("small"))
 		So(byUrgency.onTime("small"), ShouldBeGreaterThan, byArrival.onTime("small")+0.4)
 		for id, organisation := range byUrgency.organisation {
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -24,9 +24,8 @@
 	balancedAt  time.Time        // when the granted slots last sufficed for the offered calls
 	offeredRate rate             // of calls that could meet their goal when they requested a slot
 
-	withoutOverloadLimit bool      // as in State
-	withoutYoungestFirst bool      // as in State
-	lastSlack            time.Time // when slots last sufficed for calls that can no longer meet their goal
+	policy    policy
+	lastSlack time.Time // when slots last sufficed for calls that can no longer meet their goal
 }
 
 // replicaSlots tracks the calls at one replica.
@@ -55,7 +54,7 @@
 func (s *State) slotTable(shard Shard) *slotTable {
 	t := s.slotTables[shard]
 	if t == nil {
-		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, withoutOverloadLimit: s.withoutOverloadLimit, withoutYoungestFirst: s.withoutYoungestFirst}
+		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, policy: s.policy}
 		s.slotTables[shard] = t
 	}
 	return t
@@ -218,7 +217,7 @@
 // they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
 	byAge := a.queuedAt.Compare(b.queuedAt)
-	if t.isOverloaded(now) && !t.withoutYoungestFirst {
+	if t.isOverloaded(now) && isYoungestFirst(t.policy) {
 		byAge = -byAge
 	}
 	return cmp.Or(
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -38,10 +38,7 @@
 	shardLoads            map[Shard]shardLoad
 	runningByOrganisation map[string]int // running attempts
 	lag                   clock.Lag      // of this daemon
-	fifo                  bool           // queues calls in order of arrival, as the baseline of tests
-	withoutSlots          bool           // sends calls without slot requests, as the baseline of tests
-	withoutYoungestFirst  bool           // calls get slots in order of arrival during an overload; for comparison in tests
-	withoutOverloadLimit  bool           // late calls wait during an overload; for comparison in tests
+	policy                policy
 	effects               []Effect
 }
 
