platform/standin: Give daemons in tests ports that no outgoing connection takes

Seen twice, once each in two runs of all tests beside other work: "timed out waiting for both daemons to be ready and listed". Traced by letting the test report how a daemon ends: "daemon b ended: listen on 127.0.0.1:38571". The test chose free ports of the range of outgoing connections and closed them again, so that a connection of another daemon could take one before its own daemon listened. The soak had the same function.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,19 +76,6 @@
 	statusCounts map[int]int
 }
 
-func freeAddresses(t *testing.T, count int) []string {
-	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
-}
-
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 5)), statusCounts: map[int]int{}}
 	s.fleet = &standin.Fleet{Store: &standin.Store{}}
@@ -109,7 +96,11 @@
 	}
 	s.configure(1)
 	for i := range daemonCount {
-		p := &process{addresses: freeAddresses(t, 6), settingsFile: filepath.Join(t.TempDir(), "settings.yaml")}
+		addresses, err := standin.FreeAddresses(6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := &process{addresses: addresses, settingsFile: filepath.Join(t.TempDir(), "settings.yaml")}
 		if p.storeProxy, err = newProxy(listener.Addr().String()); err != nil {
 			t.Fatal(err)
 		}
