replica: Probe an instance again after the time for which it wanted nothing

Found on reading. An instance that asked for quiet while its probe was queued counted as being probed for good, so that its death would not have been noticed. The probe that is left out ends now.

--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -30,10 +30,10 @@
 // probe sends a probe to an instance, or queues it while too many probes run. An instance that wants nothing from this daemon is
 // not probed.
 func (s *State) probe(now time.Time, id ID, n *node) {
-	if now.Before(n.quietUntil) {
+	n.probing = !now.Before(n.quietUntil)
+	if !n.probing {
 		return
 	}
-	n.probing = true
 	if s.probesInFlight >= maxProbesInFlight {
 		n.probeQueued = true
 		s.probeQueue = append(s.probeQueue, id)
--- a/pkg/replica/probe_test.go
+++ b/pkg/replica/probe_test.go
@@ -99,4 +99,18 @@
 		p.feed(NewSuspected("i"))
 		So(p.probe.ID(), ShouldEqual, ID("i"))
 	})
+
+	Convey("It is probed again afterwards, also if it asked for that while its probe was queued", t, func() {
+		p := newProber(0)
+		p.feed(NewProbed(NewInstance("i", "10.0.0.1:1", "c", "d", 1)))
+		p.state.probesInFlight = maxProbesInFlight
+		p.now = p.now.Add(time.Second)
+		p.feed(NewSuspected("i"))
+		p.feed(NewQuietRequested("i", p.now.Add(time.Second)))
+		p.feed(NewProbeFailed("another"))
+		p.probe = Probe{}
+		p.now = p.now.Add(2 * time.Second)
+		p.feed(NewSuspected("i"))
+		So(p.probe.ID(), ShouldEqual, ID("i"))
+	})
 }
