replica: Do not plan for each observed lag

Found on reading. Each observed lag counted as an event that makes a plan due, so that a late leader planned more often and became later still. It only sets the lag now.

--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -93,6 +93,10 @@
 func (s *State) Reduce(now time.Time, e Event) []Effect {
 	s.effects = nil
 	s.checkEventGap(now)
+	if delayed, isDelayed := e.(Delayed); isDelayed {
+		s.lag.Observe(now, delayed.lag) // a plan would make the daemon later still
+		return s.effects
+	}
 	isInstanceEvent := true
 	switch e := e.(type) {
 	case Configured:
@@ -133,9 +137,6 @@
 			n.quietUntil = e.until
 		}
 		isInstanceEvent = false
-	case Delayed:
-		s.lag.Observe(now, e.lag)
-		isInstanceEvent = false
 	case Ticked:
 		s.probeDead(now)
 		isInstanceEvent = false
