soak: Restore the store, and let engines leave and turn requests away

The soak injects a store that continues from a copy of some faults ago, engines that say in their answers that they leave, and engines that answer 503 with Retry-After.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,7 +66,9 @@
 	fleet      *standin.Fleet
 	engines    []*standin.Upstream
 	daemons    []*process
-	nextEngine int // number of the next engine
+	nextEngine int            // number of the next engine
+	version    int            // of the configuration
+	copies     []standin.Copy // of the store, one before each fault
 
 	mutex        sync.Mutex
 	servedCount  int
@@ -129,6 +131,7 @@
 }
 
 func (s *soak) configure(version int) {
+	s.version = version
 	type o = map[string]any
 	err := s.fleet.Store.Write("config", "main", o{
 		"version": version,
@@ -274,7 +277,8 @@
 func (s *soak) injectFault() (string, func()) {
 	index := s.random.IntN(daemonCount)
 	p := s.daemons[index]
-	switch s.random.IntN(8) {
+	s.copies = append(s.copies, s.fleet.Store.Copy())
+	switch s.random.IntN(11) {
 	case 0:
 		p.stop()
 		return fmt.Sprintf("kill d%d", index), func() { s.start(p) }
@@ -297,12 +301,42 @@
 	case 6:
 		s.fleet.Store.SetUnavailable(true)
 		return "store unavailable", func() { s.fleet.Store.SetUnavailable(false) }
+	case 7:
+		back := 1 + s.random.IntN(min(4, len(s.copies)))
+		s.restoreStore(s.copies[len(s.copies)-back])
+		return fmt.Sprintf("store restored from %d faults ago", back), func() {}
+	case 8:
+		e := s.removeEngine()
+		e.SayLeaving()
+		return "leave " + e.ID(), func() {
+			e.Kill(300 * time.Millisecond)
+			s.addEngine()
+		}
+	case 9:
+		e := s.engines[s.random.IntN(len(s.engines))]
+		e.TurnAway(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
+		return "turn away at " + e.ID(), func() { e.TurnAway(0) }
 	}
+	e := s.removeEngine()
+	e.Kill(300 * time.Millisecond)
+	return "kill " + e.ID(), s.addEngine
+}
+
+// removeEngine removes a random engine from those that faults choose from.
+func (s *soak) removeEngine() *standin.Upstream {
 	i := s.random.IntN(len(s.engines))
 	e := s.engines[i]
 	s.engines = append(s.engines[:i], s.engines[i+1:]...)
-	e.Kill(300 * time.Millisecond)
-	return "kill " + e.ID(), s.addEngine
+	return e
+}
+
+// restoreStore makes the store continue from a copy. The operator and the upstreams write their objects again.
+func (s *soak) restoreStore(c standin.Copy) {
+	s.fleet.Store.Restore(c)
+	s.configure(s.version)
+	if err := s.fleet.RegisterAll(); err != nil {
+		s.t.Fatal(err)
+	}
 }
 
 // runSeed runs the test with one seed and returns the failures.
