--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -88,6 +88,36 @@
 // Interval returns the minimum time between two reads of changes.
 func (w WatchUpstreams) Interval() time.Duration { return w.interval }
 
+// StoreRestored reports that the store continues from an older copy of its objects.
+type StoreRestored struct{ before, era uint64 }
+
+// Before returns the era before.
+func (s StoreRestored) Before() uint64 { return s.before }
+
+// Era returns the present era.
+func (s StoreRestored) Era() uint64 { return s.era }
+
+// StoreAnswerOutdated reports that an answer of the store was dropped, as it is of an earlier era.
+type StoreAnswerOutdated struct{ era, current uint64 }
+
+// Era returns the era of the answer.
+func (s StoreAnswerOutdated) Era() uint64 { return s.era }
+
+// Current returns the present era.
+func (s StoreAnswerOutdated) Current() uint64 { return s.current }
+
+// UpstreamLeaves reports that an upstream leaves, though its entry in the list does not say so yet.
+type UpstreamLeaves struct {
+	id     replica.ID
+	source string
+}
+
+// ID returns the upstream.
+func (u UpstreamLeaves) ID() replica.ID { return u.id }
+
+// Source returns where this daemon learnt it: the name of another daemon, or "its answer".
+func (u UpstreamLeaves) Source() string { return u.source }
+
 // Stats counts the work in progress at this daemon; it is emitted once a second.
 type Stats struct {
 	active       int
@@ -172,3 +202,9 @@
 func (ReplicaEffect) isEffect() {}
 
 func (DispatchEffect) isEffect() {}
+
+func (StoreRestored) isEffect() {}
+
+func (StoreAnswerOutdated) isEffect() {}
+
+func (UpstreamLeaves) isEffect() {}
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -28,25 +28,3 @@
 	}
 	return true
 }
-
-// StoreRestored reports that the store continues from an older copy of its objects.
-type StoreRestored struct{ before, era uint64 }
-
-// Before returns the era before.
-func (s StoreRestored) Before() uint64 { return s.before }
-
-// Era returns the present era.
-func (s StoreRestored) Era() uint64 { return s.era }
-
-// StoreAnswerOutdated reports that an answer of the store was dropped, as it is of an earlier era.
-type StoreAnswerOutdated struct{ era, current uint64 }
-
-// Era returns the era of the answer.
-func (s StoreAnswerOutdated) Era() uint64 { return s.era }
-
-// Current returns the present era.
-func (s StoreAnswerOutdated) Current() uint64 { return s.current }
-
-func (StoreRestored) isEffect() {}
-
-func (StoreAnswerOutdated) isEffect() {}
--- a/pkg/gateway/leaving.go
+++ b/pkg/gateway/leaving.go
@@ -49,17 +49,3 @@
 	s.applyListChanges(now, []Upstream{s.listing.entries[id]}, nil)
 	return true
 }
-
-// UpstreamLeaves reports that an upstream leaves, though its entry in the list does not say so yet.
-type UpstreamLeaves struct {
-	id     replica.ID
-	source string
-}
-
-// ID returns the upstream.
-func (u UpstreamLeaves) ID() replica.ID { return u.id }
-
-// Source returns where this daemon learnt it: the name of another daemon, or "its answer".
-func (u UpstreamLeaves) Source() string { return u.source }
-
-func (UpstreamLeaves) isEffect() {}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -92,44 +92,6 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-// minLag is the shortest lag that the timeouts of this daemon allow for.
-const minLag = 5 * time.Millisecond // twice the round trip to an upstream
-
-// minPause is the shortest time without a tick that counts as a pause of this daemon.
-const minPause = 4 * TickInterval
-
-// discountPause takes a pause of this daemon off the time for which others have been silent.
-func (s *State) discountPause(pause time.Duration) {
-	m := &s.members
-	if !m.unackedSince.IsZero() {
-		m.unackedSince = m.unackedSince.Add(pause)
-	}
-	for name, at := range m.receivedAt {
-		m.receivedAt[name] = at.Add(pause)
-	}
-	s.listSync.receivedAt = s.listSync.receivedAt.Add(pause)
-}
-
-// observeLag records how late this daemon handles a tick, or how long the next one is overdue.
-func (s *State) observeLag(now time.Time, e Event) {
-	due := s.nextTick
-	if tick, isTick := e.(Ticked); isTick {
-		if pause := now.Sub(due); !due.IsZero() && pause >= minPause {
-			s.discountPause(pause)
-		}
-		due, s.nextTick = tick.due, now.Add(TickInterval)
-	}
-	if due.IsZero() || !now.After(due) {
-		return
-	}
-	lag := now.Sub(due)
-	s.lag.Observe(now, lag)
-	if lag >= minLag {
-		s.reduceReplica(now, replica.NewDelayed(lag))
-		s.reduceDispatch(now, dispatch.NewDelayed(lag))
-	}
-}
-
 // start initialises the state. The peer settings let every daemon watch the configuration in the store, so that one that is
 // partitioned from its peers but not from the store gets it in time too; watchConfig limits the idle watches.
 func (s *State) start(now time.Time, settings Settings) {
