--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -32,7 +32,7 @@
 	Load           dispatch.Load
 	FaultyUpstream string        // the upstream that prevents this one from running the request, empty for none
 	Leaving        bool          // the upstream says that it leaves
-	RetryAfter     time.Duration // for which the upstream wants nothing from this daemon, 0 for none
+	RetryAfter     time.Duration // for which the upstream throttles this daemon, 0 for none
 }
 
 // Store is the platform's object API.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,7 +58,7 @@
 	}
 	class := e.daemon.adapter.Headers.ClassifyAnswer(answer.Response)
 	if class.RetryAfter > 0 {
-		e.daemon.enqueueDispatch(dispatch.NewTurnedAway(send.Attempt(), class.RetryAfter))
+		e.daemon.enqueueDispatch(dispatch.NewThrottled(send.Attempt(), class.RetryAfter))
 	}
 	if class.Leaving {
 		e.daemon.enqueue(gateway.NewLeavingReported(replica.ID(send.Upstream())))
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -51,7 +51,7 @@
 		d.log.Info("replica", "leader", "leader", effect.Leader(), "self", effect.Leading())
 	case gateway.StoreRestored:
 		d.recorder.StoreRestored(effect.Era())
-		d.log.Info("store", "continues from an older copy", "before", effect.Before(), "era", effect.Era())
+		d.log.Info("store", "restored from an older snapshot", "before", effect.Before(), "era", effect.Era())
 	case gateway.StoreAnswerOutdated:
 		d.recorder.StoreAnswerOutdated()
 		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -63,7 +63,7 @@
 	StoreRestores = Metric{
 		"azurepond_store_restores_total",
 		nil,
-		"restores", "How often the store continued from an older copy while this daemon used it.",
+		"restores", "How often the store was restored from an older snapshot while this daemon used it.",
 	}
 	StoreEra = Metric{
 		"azurepond_store_era",
@@ -78,7 +78,7 @@
 	Upstreams = Metric{
 		"azurepond_upstreams",
 		[]string{"state"},
-		"upstreams", "Listed upstreams that leave (leaving), and upstreams that want nothing from this daemon now (turning away).",
+		"upstreams", "Listed upstreams that leave (leaving), and upstreams that throttle this daemon (throttling).",
 	}
 	Lag = Metric{
 		"azurepond_lag_milliseconds",
@@ -120,7 +120,7 @@
 // ProbeEnded counts a probe of an engine by its result.
 func (r *Recorder) ProbeEnded(result string) { r.increment(Probes.RegistryName(result)) }
 
-// StoreRestored counts that the store continued from an older copy, and sets its era.
+// StoreRestored counts that the store was restored from an older snapshot, and sets its era.
 func (r *Recorder) StoreRestored(era uint64) {
 	r.increment(StoreRestores.RegistryName())
 	r.SetGauge(StoreEra, int64(era))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,9 +66,9 @@
 	fleet      *standin.Fleet
 	engines    []*standin.Upstream
 	daemons    []*process
-	nextEngine int            // number of the next engine
-	version    int            // of the configuration
-	copies     []standin.Copy // of the store, one before each fault
+	nextEngine int                // number of the next engine
+	version    int                // of the configuration
+	snapshots  []standin.Snapshot // of the store, one before each fault
 
 	mutex        sync.Mutex
 	servedCount  int
@@ -277,7 +277,7 @@
 func (s *soak) injectFault() (string, func()) {
 	index := s.random.IntN(daemonCount)
 	p := s.daemons[index]
-	s.copies = append(s.copies, s.fleet.Store.Copy())
+	s.snapshots = append(s.snapshots, s.fleet.Store.Snapshot())
 	switch s.random.IntN(11) {
 	case 0:
 		p.stop()
@@ -302,8 +302,8 @@
 		s.fleet.Store.SetUnavailable(true)
 		return "store unavailable", func() { s.fleet.Store.SetUnavailable(false) }
 	case 7:
-		back := 1 + s.random.IntN(min(4, len(s.copies)))
-		s.restoreStore(s.copies[len(s.copies)-back])
+		back := 1 + s.random.IntN(min(4, len(s.snapshots)))
+		s.restoreStore(s.snapshots[len(s.snapshots)-back])
 		return fmt.Sprintf("store restored from %d faults ago", back), func() {}
 	case 8:
 		e := s.removeEngine()
@@ -314,8 +314,8 @@
 		}
 	case 9:
 		e := s.engines[s.random.IntN(len(s.engines))]
-		e.TurnAway(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
-		return "turn away at " + e.ID(), func() { e.TurnAway(0) }
+		e.Throttle(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
+		return "throttle at " + e.ID(), func() { e.Throttle(0) }
 	}
 	e := s.removeEngine()
 	e.Kill(300 * time.Millisecond)
@@ -330,8 +330,8 @@
 	return e
 }
 
-// restoreStore makes the store continue from a copy. The operator and the upstreams write their objects again.
-func (s *soak) restoreStore(c standin.Copy) {
+// restoreStore restores the store from a snapshot. The operator and the upstreams write their objects again.
+func (s *soak) restoreStore(c standin.Snapshot) {
 	s.fleet.Store.Restore(c)
 	s.configure(s.version)
 	if err := s.fleet.RegisterAll(); err != nil {
--- a/pkg/dispatch/backoff_test.go
+++ b/pkg/dispatch/backoff_test.go
@@ -7,11 +7,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-func TestUpstreamThatTurnsCallsAway(t *testing.T) {
-	Convey("Given an upstream that turns calls away for five seconds", t, func() {
+func TestThrottlingUpstream(t *testing.T) {
+	Convey("Given an upstream that throttles the daemon for five seconds", t, func() {
 		const wait = 5 * time.Second
 		sim := newSimulation(2, 1)
-		sim.turnAwayFor["h0"] = wait
+		sim.throttleFor["h0"] = wait
 		for id := ID(1); sim.sentTo["h0"] == 0; id++ {
 			sim.arrive(id, "large", "/read/x")
 			sim.run(20 * time.Millisecond)
@@ -28,7 +28,7 @@
 		})
 
 		Convey("its calls return in steps", func() {
-			delete(sim.turnAwayFor, "h0")
+			delete(sim.throttleFor, "h0")
 			sim.targets = sim.targets[:1]
 			sim.run(turnedAway.Add(wait).Sub(sim.now))
 			sim.maxRunning["h0"] = 0
@@ -42,24 +42,24 @@
 		})
 
 		Convey("a second answer extends the time and does not add to it", func() {
-			first := sim.state.upstreams["h0"].turnedAwayUntil
+			first := sim.state.upstreams["h0"].throttledUntil
 			sim.state.attempts[99] = &attempt{id: 99, call: &call{tried: []string{"h0"}}, upstream: sim.state.upstreams["h0"]}
-			sim.feed(NewTurnedAway(99, time.Second))
-			So(sim.state.upstreams["h0"].turnedAwayUntil, ShouldEqual, first)
-			sim.feed(NewTurnedAway(99, 6*time.Second))
-			So(sim.state.upstreams["h0"].turnedAwayUntil, ShouldEqual, sim.now.Add(6*time.Second))
+			sim.feed(NewThrottled(99, time.Second))
+			So(sim.state.upstreams["h0"].throttledUntil, ShouldEqual, first)
+			sim.feed(NewThrottled(99, 6*time.Second))
+			So(sim.state.upstreams["h0"].throttledUntil, ShouldEqual, sim.now.Add(6*time.Second))
 		})
 	})
 
-	Convey("While all upstreams turn calls away", t, func() {
+	Convey("While all upstreams throttle the daemon", t, func() {
 		const wait = 2 * time.Second
 		for _, path := range []string{"/read/x", "/draft/x"} {
 			sim := newSimulation(1, 1)
-			sim.turnAwayFor["h0"] = wait
+			sim.throttleFor["h0"] = wait
 			sim.arrive(1, "large", path)
 			sim.run(100 * time.Millisecond)
-			delete(sim.turnAwayFor, "h0")
-			until := sim.state.upstreams["h0"].turnedAwayUntil
+			delete(sim.throttleFor, "h0")
+			until := sim.state.upstreams["h0"].throttledUntil
 
 			Convey("a call to "+path+" that can't be served before is refused at once, with the time of the return", func() {
 				sim.arrive(2, "large", path)
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -184,17 +184,17 @@
 // Reason returns the observation behind the suspicion.
 func (s Suspect) Reason() string { return s.reason }
 
-// Quiet reports that an upstream wants nothing from this daemon for a time.
-type Quiet struct {
+// PauseProbes requests that an upstream is not probed, since it throttles this daemon.
+type PauseProbes struct {
 	upstream string
 	until    time.Time
 }
 
 // Upstream returns the upstream.
-func (q Quiet) Upstream() string { return q.upstream }
+func (q PauseProbes) Upstream() string { return q.upstream }
 
 // Until returns the end of that time.
-func (q Quiet) Until() time.Time { return q.until }
+func (q PauseProbes) Until() time.Time { return q.until }
 
 // The decisions on requests, as written to logs and metrics.
 const (
@@ -205,7 +205,7 @@
 	NoteFailed           = "failed"
 	NoteFailureForwarded = "failure passed on"
 	NoteDropped          = "dropped"
-	NoteTurnedAway       = "turned away"
+	NoteThrottled        = "throttled"
 	NoteAttempt          = "attempt failed"
 )
 
@@ -295,7 +295,7 @@
 
 func (Suspect) isEffect() {}
 
-func (Quiet) isEffect() {}
+func (PauseProbes) isEffect() {}
 
 func (Note) isEffect() {}
 
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -117,15 +117,15 @@
 	return f
 }
 
-// TurnedAway reports that the upstream of an attempt wants nothing from this daemon for a time.
-type TurnedAway struct {
+// Throttled reports that the upstream of an attempt throttles this daemon.
+type Throttled struct {
 	attempt AttemptID
 	wait    time.Duration
 }
 
-// NewTurnedAway returns the event that the upstream of an attempt wants nothing from this daemon for wait.
-func NewTurnedAway(attempt AttemptID, wait time.Duration) TurnedAway {
-	return TurnedAway{attempt, wait}
+// NewThrottled returns the event that the upstream of an attempt throttles this daemon for wait.
+func NewThrottled(attempt AttemptID, wait time.Duration) Throttled {
+	return Throttled{attempt, wait}
 }
 
 // SlotStatus is the result of a slot request.
@@ -314,7 +314,7 @@
 
 func (Delayed) isEvent() {}
 
-func (TurnedAway) isEvent() {}
+func (Throttled) isEvent() {}
 
 func (Ticked) isEvent() {}
 
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -148,7 +148,7 @@
 }
 
 // retryAfter returns the Retry-After time of a refused call: the expected wait, with jitter so that refused callers do
-// not retry at the same time. While all upstreams turn this daemon away, it is the time of the first return.
+// not retry at the same time. While all upstreams throttle this daemon, it is the time until the first one ends that.
 func (s *State) retryAfter(now time.Time, up Upstreams, c *call) time.Duration {
 	if wait := s.untilReturn(now, up, c); wait > 0 {
 		return wait + time.Duration(s.random.Float64()*float64(returnSpread))
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -38,7 +38,7 @@
 	opensAt      time.Time // when the next replica opens, zero for now
 	retryAfter   map[ID]time.Duration
 	failWith     func(Send) Failure       // returns the failure of an attempt, NoFailure for success
-	turnAwayFor  map[string]time.Duration // upstreams that turn requests away, with the time that they name
+	throttleFor  map[string]time.Duration // Retry-After times of the upstreams that refuse requests
 	sentTo       map[string]int           // requests, by upstream
 	maxRunning   map[string]int           // requests that ran at once, by upstream
 }
@@ -53,7 +53,7 @@
 		now: epoch, runningCalls: map[string]int{}, firstEvent: map[ID]time.Duration{}, arrived: map[ID]time.Time{},
 		organisation: map[ID]string{}, refused: map[ID]bool{}, failed: map[ID]Reason{}, forwarded: map[ID]bool{}, sends: map[ID]int{}, running: map[AttemptID]Send{},
 		failWith: func(Send) Failure { return NoFailure }, retryAfter: map[ID]time.Duration{},
-		turnAwayFor: map[string]time.Duration{}, sentTo: map[string]int{}, maxRunning: map[string]int{},
+		throttleFor: map[string]time.Duration{}, sentTo: map[string]int{}, maxRunning: map[string]int{},
 	}
 	for i := range replicas {
 		sim.targets = append(sim.targets, NewTarget(fmt.Sprintf("h%d", i), fmt.Sprintf("10.0.0.%d:1", i), true, replicaSlotCount))
@@ -131,9 +131,9 @@
 func (sim *simulation) send(send Send) {
 	a := send.Attempt()
 	sim.sentTo[send.Upstream()]++
-	if wait := sim.turnAwayFor[send.Upstream()]; wait > 0 {
+	if wait := sim.throttleFor[send.Upstream()]; wait > 0 {
 		sim.after(5*time.Millisecond, func() {
-			sim.feed(NewTurnedAway(a, wait))
+			sim.feed(NewThrottled(a, wait))
 			sim.feed(NewFailed(a, NotRun))
 		})
 		return
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -95,8 +95,8 @@
 		s.handleCompleted(now, up, e.attempt)
 	case Failed:
 		s.handleFailed(now, up, e)
-	case TurnedAway:
-		s.handleTurnedAway(now, e)
+	case Throttled:
+		s.handleThrottled(now, e)
 	case SlotReply:
 		s.handleSlotReply(now, up, e)
 	case PeersChanged:
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -69,7 +69,7 @@
 	begunSince           int       // requests of this daemon sent since the report
 	endedSince           int       // requests of this daemon ended since the report
 	avoidUntil           time.Time // gets no new requests before
-	turnedAwayUntil      time.Time // wants nothing from this daemon before
+	throttledUntil       time.Time // throttles this daemon until then
 	trialCalls           int       // that may run there at once since then, 0 for no limit
 	lastUsed             time.Time
 	slowdown             float64 // of the latest first event, as in ReplicaUsage, 0 once reported
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -131,8 +131,8 @@
 		return
 	}
 	switch effect := effect.(type) {
-	case dispatch.Quiet:
-		s.reduceReplica(now, replica.NewQuietRequested(replica.ID(effect.Upstream()), effect.Until()))
+	case dispatch.PauseProbes:
+		s.reduceReplica(now, replica.NewProbesPaused(replica.ID(effect.Upstream()), effect.Until()))
 	case dispatch.Suspect:
 		s.suspect(now, replica.ID(effect.Upstream()))
 	default:
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -70,8 +70,8 @@
 // Leaving returns how many listed upstreams leave.
 func (s Stats) Leaving() int { return s.leaving }
 
-// TurningAway returns how many upstreams want nothing from this daemon now.
-func (s Stats) TurningAway() int { return s.turningAway }
+// Throttling returns how many upstreams throttle this daemon now.
+func (s Stats) Throttling() int { return s.throttling }
 
 // ShardOwnersChanged reports the daemons that grant the slots of the replicas, as this daemon sees them.
 type ShardOwnersChanged struct{ owners []string }
@@ -88,7 +88,7 @@
 // Interval returns the minimum time between two reads of changes.
 func (w WatchUpstreams) Interval() time.Duration { return w.interval }
 
-// StoreRestored reports that the store continues from an older copy of its objects.
+// StoreRestored reports that the store is restored from an older snapshot.
 type StoreRestored struct{ before, era uint64 }
 
 // Before returns the era before.
@@ -127,7 +127,7 @@
 	retriesLeft  map[string]float64
 	lag          time.Duration
 	leaving      int
-	turningAway  int
+	throttling   int
 }
 
 // Active returns how many requests have not ended.
@@ -169,7 +169,7 @@
 // Effect returns the effect of pkg/replica.
 func (r ReplicaEffect) Effect() replica.Effect { return r.effect }
 
-// DispatchEffect is an effect of pkg/dispatch, except Suspect, Quiet and the messages to other daemons.
+// DispatchEffect is an effect of pkg/dispatch, except Suspect, PauseProbes and the messages to other daemons.
 type DispatchEffect struct{ effect dispatch.Effect }
 
 // Effect returns the effect of pkg/dispatch.
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -6,7 +6,7 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-// The era of the store rises when the store continues from an older copy of its objects. What was written since the copy is gone
+// The era of the store rises when the store is restored from an older snapshot. What was written since the copy is gone
 // then, and its revisions are given out again, so answers of an earlier era are worthless.
 
 // observeEra applies the era of an answer of the store, and reports whether the answer is not of an earlier one.
--- a/pkg/gateway/era_test.go
+++ b/pkg/gateway/era_test.go
@@ -40,7 +40,7 @@
 		entryOf("restarted", 1, false, memberOf(2)),
 	})
 
-	Convey("When the store continues from an older copy, its list changes nothing that is known better", t, func() {
+	Convey("When the store is restored from an older snapshot, its list changes nothing that is known better", t, func() {
 		l := newListing()
 		_, gone := l.apply(at(2*time.Second), older, 0)
 		So(gone, ShouldBeEmpty)
@@ -110,7 +110,7 @@
 }
 
 func TestRestoredStoreOfFleet(t *testing.T) {
-	Convey("When the store of 120 daemons continues from an older copy, the record has all replicas again within three seconds", t, func() {
+	Convey("When the store of 120 daemons is restored from an older snapshot, the record has all replicas again within three seconds", t, func() {
 		size := firstStart()
 		size.daemons, size.engines, size.callsPerSecond = 120, 222, 100
 		f := newFleet(size, benchTraffic)
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -388,7 +388,7 @@
 	before  []byte
 }
 
-// restoreStore makes the store continue from a copy of this age. The daemons that watch the list notice, and read it again.
+// restoreStore restores the store from a snapshot of this age. The daemons that watch the list notice, and read it again.
 func (f *fleet) restoreStore(age time.Duration) {
 	f.era++
 	for len(f.written) > 0 && f.now.Sub(f.written[len(f.written)-1].at) < age {
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -16,10 +16,10 @@
 	// absentGraceOtherReader is how long an entry is kept that is missing from another reader's list: that reader may
 	// have started during an outage. It is half of the two seconds after which a leaving upstream must get no new work.
 	absentGraceOtherReader = time.Second
-	// removalMemory is how long a removed upstream is remembered, which is longer than the age of a copy that the store may
-	// continue from.
+	// removalMemory is how long a removed upstream is remembered, which is longer than the age of a snapshot that the
+	// store may be restored from.
 	removalMemory = time.Minute
-	// holdBackTime is how long an entry is held back whose upstream was removed before the store continued from an older copy.
+	// holdBackTime is how long an entry is held back whose upstream was removed before the store was restored from an older snapshot.
 	// The store removes it again after three missed heartbeats.
 	holdBackTime = 5 * time.Second
 )
@@ -33,7 +33,7 @@
 	storeRecoveredAt time.Time            // end of the last outage seen by this daemon
 	left             map[replica.ID]int64 // incarnations of the upstreams that said that they leave
 	removed          map[replica.ID]removal
-	isRestored       bool // the next complete list is of an older copy of the store
+	isRestored       bool // the next complete list is of an older snapshot of the store
 	heldBack         map[replica.ID]heldEntry
 }
 
@@ -43,7 +43,7 @@
 	at          time.Time
 }
 
-// heldEntry is an entry of an older copy of the store that was removed since.
+// heldEntry is an entry of an older snapshot of the store that was removed since.
 type heldEntry struct {
 	upstream Upstream
 	until    time.Time
@@ -151,13 +151,13 @@
 	return true
 }
 
-// restore prepares for the list of a store that continues from an older copy. What upstreams have written since is missing from
+// restore prepares for the list of a store that is restored from an older snapshot. What upstreams have written since is missing from
 // it until they write it again.
 func (l *listing) restore(now time.Time) {
 	l.isRestored, l.storeRecoveredAt = true, now
 }
 
-// holdBack holds back an entry of an older copy whose upstream was removed since, and reports whether it did.
+// holdBack holds back an entry of an older snapshot whose upstream was removed since, and reports whether it did.
 func (l *listing) holdBack(now time.Time, u Upstream) bool {
 	r, isRemoved := l.removed[u.instance.ID()]
 	if !isRemoved || r.incarnation < u.instance.Incarnation() {
@@ -179,7 +179,7 @@
 	return released
 }
 
-// merge returns a later entry of the same upstream, or an older one if the store continues from an older copy. An upstream that
+// merge returns a later entry of the same upstream, or an older one if the store is restored from an older snapshot. An upstream that
 // leaves does not come back in the same start.
 func (u Upstream) merge(next Upstream, isOlder bool) Upstream {
 	switch {
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is an input of the planner: Configured, Listed, Probed, Suspected, DeclaredDead, OrderAnswered, StoreCompleted,
-// LeadershipChanged, DemandReported, CallsArrived, StoreEra, QuietRequested,
+// LeadershipChanged, DemandReported, CallsArrived, StoreEra, ProbesPaused,
 // Delayed or Ticked.
 type Event interface{ isEvent() }
 
@@ -119,17 +119,17 @@
 // StoreEra carries the era of the store.
 type StoreEra struct{ era uint64 }
 
-// NewStoreEra returns the event that the store answers in this era, which rises when it continues from an older copy.
+// NewStoreEra returns the event that the store answers in this era, which rises when it is restored from an older snapshot.
 func NewStoreEra(era uint64) StoreEra { return StoreEra{era} }
 
-// QuietRequested says that an instance wants nothing from this daemon for a time.
-type QuietRequested struct {
+// ProbesPaused says that an instance must not be probed for a time.
+type ProbesPaused struct {
 	id    ID
 	until time.Time
 }
 
-// NewQuietRequested returns the event that the instance called id wants nothing from this daemon before until.
-func NewQuietRequested(id ID, until time.Time) QuietRequested { return QuietRequested{id, until} }
+// NewProbesPaused returns the event that the instance called id must not be probed before until.
+func NewProbesPaused(id ID, until time.Time) ProbesPaused { return ProbesPaused{id, until} }
 
 // Delayed says that this daemon handles its events late.
 type Delayed struct{ lag time.Duration }
@@ -165,7 +165,7 @@
 
 func (StoreEra) isEvent() {}
 
-func (QuietRequested) isEvent() {}
+func (ProbesPaused) isEvent() {}
 
 func (Delayed) isEvent() {}
 
--- a/pkg/replica/instance.go
+++ b/pkg/replica/instance.go
@@ -107,7 +107,7 @@
 	return i
 }
 
-// MergeOlder returns an instance as an older copy of the store has it, with what is known of it since: a later start, that it
+// MergeOlder returns an instance as an older snapshot of the store has it, with what is known of it since: a later start, that it
 // leaves, and a newer membership.
 func (i Instance) MergeOlder(older Instance) Instance {
 	if older.incarnation < i.incarnation {
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -27,10 +27,10 @@
 	s.probe(now, id, n)
 }
 
-// probe sends a probe to an instance, or queues it while too many probes run. An instance that wants nothing from this daemon is
-// not probed.
+// probe sends a probe to an instance, or queues it while too many probes run. An instance that throttles this daemon is not
+// probed.
 func (s *State) probe(now time.Time, id ID, n *node) {
-	n.probing = !now.Before(n.quietUntil)
+	n.probing = !now.Before(n.probesPausedUntil)
 	if !n.probing {
 		return
 	}
--- a/pkg/replica/probe_test.go
+++ b/pkg/replica/probe_test.go
@@ -86,12 +86,12 @@
 	})
 }
 
-func TestQuietInstance(t *testing.T) {
-	Convey("An instance that wants nothing from this daemon is not probed before the end of that time", t, func() {
+func TestPausedProbes(t *testing.T) {
+	Convey("An instance that throttles the daemon is not probed before the end of that time", t, func() {
 		p := newProber(0)
 		p.feed(NewProbed(NewInstance("i", "10.0.0.1:1", "c", "d", 1)))
 		p.probe = Probe{}
-		p.feed(NewQuietRequested("i", p.now.Add(3*time.Second)))
+		p.feed(NewProbesPaused("i", p.now.Add(3*time.Second)))
 		p.now = p.now.Add(2 * time.Second)
 		p.feed(NewSuspected("i"))
 		So(p.probe, ShouldResemble, Probe{})
@@ -106,7 +106,7 @@
 		p.state.probesInFlight = maxProbesInFlight
 		p.now = p.now.Add(time.Second)
 		p.feed(NewSuspected("i"))
-		p.feed(NewQuietRequested("i", p.now.Add(time.Second)))
+		p.feed(NewProbesPaused("i", p.now.Add(time.Second)))
 		p.feed(NewProbeFailed("another"))
 		p.probe = Probe{}
 		p.now = p.now.Add(2 * time.Second)
--- a/pkg/replica/recovery.go
+++ b/pkg/replica/recovery.go
@@ -7,7 +7,7 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// The store may continue from an older copy of its objects. Replicas that were recorded since then run on and are not in the
+// The store may be restored from an older snapshot. Replicas that were recorded since then run on and are not in the
 // record any more, and their members may appear in replicas of the older record. What the engines report decides: it has the
 // epoch of the latest order that each of them carried out. A leader that finds such a record asks all instances, records the
 // replicas that they report, and only then plans.
@@ -17,7 +17,7 @@
 	// replica before they do.
 	confirmTimeout = 2 * time.Second
 
-	// epochsPerEra is how many epochs are skipped for each copy that the store has continued from, since the lost records used
+	// epochsPerEra is how many epochs are skipped for each restore of the store, since the lost records used
 	// some of them. It is more than are recorded in the age of any copy, which is some seconds.
 	epochsPerEra = 1 << 12
 
--- a/pkg/replica/recovery_test.go
+++ b/pkg/replica/recovery_test.go
@@ -46,7 +46,7 @@
 }
 
 func TestReplicasOfLostRecord(t *testing.T) {
-	Convey("When the store continues from an older copy, the replicas that it does not know serve on and are recorded again", t, func() {
+	Convey("When the store is restored from an older snapshot, the replicas that it does not know serve on and are recorded again", t, func() {
 		for _, age := range []time.Duration{2 * time.Second, 5 * time.Second, 10 * time.Second} {
 			for _, isNewLeader := range []bool{false, true} {
 				sim := busySimulation()
--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -302,7 +302,7 @@
 	value   []byte
 }
 
-// restoreStore makes the store continue from a copy of this age.
+// restoreStore restores the store from a snapshot of this age.
 func (sim *simulation) restoreStore(age time.Duration) {
 	sim.era++
 	for len(sim.stored) > 0 && sim.now.Sub(sim.stored[len(sim.stored)-1].at) < age {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -67,7 +67,7 @@
 	lastProbe           time.Time // when the last probe was sent
 	probing             bool      // a probe runs or is queued
 	probeQueued         bool
-	quietUntil          time.Time     // wants no probes of this daemon before
+	probesPausedUntil   time.Time     // it throttles this daemon until then
 	probeTimeout        time.Duration // of the last probe
 }
 
@@ -132,9 +132,9 @@
 	case StoreEra:
 		s.setStoreEra(now, e.era)
 		isInstanceEvent = false
-	case QuietRequested:
+	case ProbesPaused:
 		if n := s.nodes[e.id]; n != nil {
-			n.quietUntil = e.until
+			n.probesPausedUntil = e.until
 		}
 		isInstanceEvent = false
 	case Ticked:
