--- a/pkg/dispatch/backoff.go
+++ b/pkg/dispatch/backoff.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// An upstream throttles this daemon by refusing a call with a Retry-After time. The daemon sends it no call and no probe until then. The first call afterwards is a trial, and each one that is answered doubles the number of calls that may run
-// there at once, so that the calls that waited do not arrive together.
+// An upstream throttles this daemon by refusing a call with a Retry-After time. The daemon sends it no call and no probe until
+// then. The first call afterwards is a trial, and each one that is answered doubles the number of calls that may run there at
+// once, so that the calls that waited do not arrive together.
 
 // The steps in which calls return to an upstream that throttled this daemon.
 const (
