soak: Stop the earlier process of a daemon before the next start

When two faults of the same daemon overlap, undoing both started two processes, and only the later one was stopped at the end.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -160,6 +160,9 @@
 }
 
 func (s *soak) start(p *process) {
+	if p.exited != nil {
+		p.stop() // two faults of one daemon overlapped, and both are undone
+	}
 	log, err := os.OpenFile(p.settingsFile+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		s.t.Fatal(err)
