instance: Restore a name that a rename of another package changed

In this package it is the time before which a new holder of the lease takes no decisions, which has nothing to do with probes.

--- a/pkg/instance/draft.go
+++ b/pkg/instance/draft.go
@@ -77,7 +77,7 @@
 // failed probe, the results may only be delayed, so the limit grows by the maximum age of a result.
 func (d *draft) silent(n *node) bool {
 	answered := n.lastProbe.at
-	for _, start := range []time.Time{d.pool.probesPausedUntil, d.state.trustedSince} {
+	for _, start := range []time.Time{d.pool.quietUntil, d.state.trustedSince} {
 		if start.After(answered) {
 			answered = start
 		}
--- a/pkg/instance/holder.go
+++ b/pkg/instance/holder.go
@@ -28,9 +28,9 @@
 	case object.Acquired:
 		p.writer.Reset()
 		p.recordCurrent = false
-		p.probesPausedUntil = now.Add(s.settings.maxProbeAge)
+		p.quietUntil = now.Add(s.settings.maxProbeAge)
 		if !p.fencing() {
-			p.probesPausedUntil = p.probesPausedUntil.Add(s.settings.orderTimeout)
+			p.quietUntil = p.quietUntil.Add(s.settings.orderTimeout)
 		}
 	case object.Lapsed:
 		p.writer.Abandon()
@@ -112,7 +112,7 @@
 	if !p.lease.Held(now) || !p.recordCurrent || p.recordUnreadable {
 		return false
 	}
-	return !now.Before(p.probesPausedUntil) && !now.Before(s.trustedSince.Add(s.settings.maxProbeAge))
+	return !now.Before(p.quietUntil) && !now.Before(s.trustedSince.Add(s.settings.maxProbeAge))
 }
 
 // scheduleRead reads the record at intervals while this daemon doesn't hold the lease, in case peers fail to deliver
--- a/pkg/instance/pool.go
+++ b/pkg/instance/pool.go
@@ -30,14 +30,14 @@
 	positions  map[ID]position
 	replicas   []*replicaState
 
-	pending           *record                 // the record that is being written
-	shortSince        map[string]time.Time    // since when a model lacks replicas
-	unknownSince      map[ReplicaID]time.Time // since when the settings don't name a replica's model
-	probesPausedUntil time.Time               // no decisions before this time
-	nextRead          time.Time
-	skipPlanUntil     time.Time
-	recordUnreadable  bool
-	recordCurrent     bool // the record was read since the lease was acquired
+	pending          *record                 // the record that is being written
+	shortSince       map[string]time.Time    // since when a model lacks replicas
+	unknownSince     map[ReplicaID]time.Time // since when the settings don't name a replica's model
+	quietUntil       time.Time               // no decisions before this time
+	nextRead         time.Time
+	skipPlanUntil    time.Time
+	recordUnreadable bool
+	recordCurrent    bool // the record was read since the lease was acquired
 }
 
 func newPool(name string, s Settings, now time.Time) *pool {
