--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -31,7 +31,7 @@
 	Failure        dispatch.Failure // NoFailure for a success
 	Load           dispatch.Load
 	FaultyUpstream string        // the upstream that prevents this one from running the request, empty for none
-	Leaving        bool          // the upstream says that it leaves
+	Leaving        bool          // the upstream announces that it shuts down
 	RetryAfter     time.Duration // for which the upstream throttles this daemon, 0 for none
 }
 
@@ -50,9 +50,9 @@
 
 // Engines sends orders to engines and probes them.
 type Engines interface {
-	// Order sends an order and returns the engine's reply, and whether the engine says that it leaves.
+	// Order sends an order and returns the engine's reply, and whether the engine announces that it shuts down.
 	Order(ctx context.Context, order replica.Order) (reply replica.Reply, leaving bool)
-	// Probe returns the state that the instance id at address reports, and whether it says that it leaves.
+	// Probe returns the state that the instance id at address reports, and whether it announces that it shuts down.
 	Probe(ctx context.Context, id replica.ID, address string) (replica.Instance, error)
 }
 
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -55,8 +55,8 @@
 	case gateway.StoreAnswerOutdated:
 		d.recorder.StoreAnswerOutdated()
 		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
-	case gateway.UpstreamLeaves:
-		d.log.Info("upstream", "leaves", "upstream", effect.ID(), "source", effect.Source())
+	case gateway.UpstreamLeaving:
+		d.log.Info("upstream", "leaving", "upstream", effect.ID(), "source", effect.Source())
 	case gateway.ShardOwnersChanged:
 		d.log.Info("dispatch", "shard owners", "count", len(effect.Owners()), "owners", effect.Owners())
 	case gateway.PeerEffect:
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -68,7 +68,7 @@
 	StoreEra = Metric{
 		"azurepond_store_era",
 		nil,
-		"number", "The era of the store after the last such time, 0 if there was none.",
+		"number", "The era of the store after its last restore, 0 if there was none.",
 	}
 	OutdatedStoreAnswers = Metric{
 		"azurepond_store_outdated_answers_total",
@@ -78,7 +78,7 @@
 	Upstreams = Metric{
 		"azurepond_upstreams",
 		[]string{"state"},
-		"upstreams", "Listed upstreams that leave (leaving), and upstreams that throttle this daemon (throttling).",
+		"upstreams", "Listed upstreams that shut down (leaving), and upstreams that throttle this daemon (throttling).",
 	}
 	Lag = Metric{
 		"azurepond_lag_milliseconds",
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,6 +66,7 @@
 	fleet      *standin.Fleet
 	engines    []*standin.Upstream
 	daemons    []*process
+	exits      []chan struct{}    // of all processes that were started
 	nextEngine int                // number of the next engine
 	version    int                // of the configuration
 	snapshots  []standin.Snapshot // of the store, one before each fault
@@ -175,6 +176,7 @@
 	}
 	exited := make(chan struct{})
 	p.log, p.exited = log, exited
+	s.exits = append(s.exits, exited)
 	go func() {
 		_ = p.command.Wait() // killed processes return an error; the checks use the responses instead
 		_ = log.Close()
@@ -310,7 +312,7 @@
 		return fmt.Sprintf("store restored from %d faults ago", back), func() {}
 	case 8:
 		e := s.removeEngine()
-		e.SayLeaving()
+		e.AnnounceLeaving()
 		return "leave " + e.ID(), func() {
 			e.Kill(300 * time.Millisecond)
 			s.addEngine()
@@ -373,6 +375,16 @@
 			s.recordFailure(id + " ran twice")
 		}
 	}
+	for _, p := range s.daemons {
+		p.stop()
+	}
+	for _, exited := range s.exits {
+		select {
+		case <-exited:
+		default:
+			s.recordFailure("a process was left running")
+		}
+	}
 	t.Logf("seed %d: %d served, statuses %v, failures %v", seed, s.servedCount, s.statusCounts, s.failures)
 	return s.failures
 }
--- a/pkg/dispatch/backoff.go
+++ b/pkg/dispatch/backoff.go
@@ -12,10 +12,10 @@
 	maxTrialCalls   = 16 // at which the limit ends
 )
 
-// returnSpread is the time over which the callers return that are refused since all upstreams throttle this daemon.
-const returnSpread = 500 * time.Millisecond
+// throttleSpread is the jitter of the Retry-After time of calls that are refused since all upstreams throttle this daemon.
+const throttleSpread = 500 * time.Millisecond
 
-// handleThrottled sends an upstream nothing for the time that it named. A later answer extends that time and never shortens it.
+// handleThrottled excludes an upstream for its Retry-After time. A later answer extends that time and never shortens it.
 func (s *State) handleThrottled(now time.Time, e Throttled) {
 	a := s.attempts[e.attempt]
 	if a == nil || e.wait <= 0 {
@@ -48,9 +48,9 @@
 	}
 }
 
-// untilReturn returns the time until the first upstream that could serve a call wants calls from this daemon again, 0 if one does
-// now or if there is none.
-func (s *State) untilReturn(now time.Time, up Upstreams, c *call) time.Duration {
+// throttledFor returns the time until the first of the upstreams of a call no longer throttles this daemon, 0 if one does not now or
+// if there is none.
+func (s *State) throttledFor(now time.Time, up Upstreams, c *call) time.Duration {
 	earliest := time.Duration(0)
 	for i, t := range s.targets(up, c) {
 		u := s.upstream(t.name)
--- a/pkg/dispatch/backoff_test.go
+++ b/pkg/dispatch/backoff_test.go
@@ -60,12 +60,13 @@
 			sim.run(100 * time.Millisecond)
 			delete(sim.throttleFor, "h0")
 			until := sim.state.upstreams["h0"].throttledUntil
+			So(until, ShouldHappenAfter, sim.now)
 
 			Convey("a call to "+path+" that can't be served before is refused at once, with the time of the return", func() {
 				sim.arrive(2, "large", path)
 				So(sim.refused[2], ShouldBeTrue)
-				So(sim.retryAfter[2], ShouldBeBetweenOrEqual, until.Sub(sim.now), until.Sub(sim.now)+returnSpread)
-				So(sim.retryAfter[1], ShouldBeBetweenOrEqual, wait-100*time.Millisecond, wait+returnSpread)
+				So(sim.retryAfter[2], ShouldBeBetweenOrEqual, until.Sub(sim.now), until.Sub(sim.now)+throttleSpread)
+				So(sim.retryAfter[1], ShouldBeBetweenOrEqual, wait-100*time.Millisecond, wait+throttleSpread)
 			})
 
 			Convey("a call to "+path+" that can wait for the return waits, and is served", func() {
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -23,7 +23,7 @@
 const (
 	slotRequestTimeout    = 40 * time.Millisecond  // ten round trips between the data centres of a region
 	maxSlotRequestTimeout = 200 * time.Millisecond // longer waits make a call late
-	slotRequestWaits      = 2                      // times that a request waits for this daemon: to be written, and for its reply to be read
+	slotRequestWaits      = 2                      // how often a request waits for this daemon: to write it and to read the reply
 	unresponsiveBackoff   = time.Second            // after a missing reply; a restart takes about as long
 	maxShardTries         = 2                      // shards that are tried for a free slot before a call waits for one
 )
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -18,7 +18,7 @@
 
 // place finds an upstream for a call; a new call for a model needs a slot at a replica first.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
-	if s.needsSlot(c) && len(s.targets(up, c)) > 0 && s.untilReturn(now, up, c) == 0 {
+	if s.needsSlot(c) && len(s.targets(up, c)) > 0 && s.throttledFor(now, up, c) == 0 {
 		s.requestSlot(now, up, c)
 		return
 	}
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -51,7 +51,7 @@
 
 // enqueue queues a call that no upstream has room for, or refuses it if its expected wait is too long.
 func (s *State) enqueue(now time.Time, up Upstreams, c *call, upstreams int) {
-	expected := max(s.expectedWait(now, up, c), s.untilReturn(now, up, c))
+	expected := max(s.expectedWait(now, up, c), s.throttledFor(now, up, c))
 	if now.Add(expected).After(s.waitDeadline(c)) {
 		s.giveUp(now, c, Overload, s.retryAfter(now, up, c))
 		return
@@ -150,8 +150,8 @@
 // retryAfter returns the Retry-After time of a refused call: the expected wait, with jitter so that refused callers do
 // not retry at the same time. While all upstreams throttle this daemon, it is the time until the first one ends that.
 func (s *State) retryAfter(now time.Time, up Upstreams, c *call) time.Duration {
-	if wait := s.untilReturn(now, up, c); wait > 0 {
-		return wait + time.Duration(s.random.Float64()*float64(returnSpread))
+	if wait := s.throttledFor(now, up, c); wait > 0 {
+		return wait + time.Duration(s.random.Float64()*float64(throttleSpread))
 	}
 	longest := time.Duration(maxRetryAfterRatio * float64(c.deadline.Sub(now)))
 	wait := max(s.expectedWait(now, up, c), minRetryAfter)
--- a/pkg/dispatch/queue_test.go
+++ b/pkg/dispatch/queue_test.go
@@ -59,11 +59,12 @@
 
 		Convey("calls are refused at once if none opens within the time that they may wait, and return when one is open", func() {
 			sim.opensAt = sim.now.Add(1900 * time.Millisecond)
-			returned := ID(0)
+			returned, times := ID(0), map[time.Duration]bool{}
 			for id := range ID(replicaSlotCount) {
 				sim.arrive(id+1, "large", "/draft/x")
 				So(sim.refused[id+1], ShouldBeTrue)
 				So(sim.retryAfter[id+1], ShouldBeBetweenOrEqual, 1900*time.Millisecond, 1900*time.Millisecond+openingSpread)
+				times[sim.retryAfter[id+1]] = true
 				sim.after(sim.retryAfter[id+1], func() {
 					returned++
 					sim.arrive(100+returned, "large", "/draft/x")
@@ -71,7 +72,9 @@
 			}
 			sim.after(1900*time.Millisecond, func() { sim.targets, sim.opensAt = targets, time.Time{} })
 			sim.run(5 * time.Second)
+			So(len(times), ShouldEqual, replicaSlotCount)
 			So(len(sim.firstEvent), ShouldEqual, replicaSlotCount)
+			So(len(sim.refused), ShouldEqual, replicaSlotCount) // none of those who returned
 		})
 
 		Convey("calls are told the time of the opening also if it is after their deadline", func() {
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -67,12 +67,6 @@
 // Leader returns the name of the leader, empty for none.
 func (l LeaderChanged) Leader() string { return l.leader }
 
-// Leaving returns how many listed upstreams leave.
-func (s Stats) Leaving() int { return s.leaving }
-
-// Throttling returns how many upstreams throttle this daemon now.
-func (s Stats) Throttling() int { return s.throttling }
-
 // ShardOwnersChanged reports the daemons that grant the slots of the replicas, as this daemon sees them.
 type ShardOwnersChanged struct{ owners []string }
 
@@ -88,7 +82,7 @@
 // Interval returns the minimum time between two reads of changes.
 func (w WatchUpstreams) Interval() time.Duration { return w.interval }
 
-// StoreRestored reports that the store is restored from an older snapshot.
+// StoreRestored reports that the store was restored from an older snapshot.
 type StoreRestored struct{ before, era uint64 }
 
 // Before returns the era before.
@@ -106,17 +100,17 @@
 // Current returns the present era.
 func (s StoreAnswerOutdated) Current() uint64 { return s.current }
 
-// UpstreamLeaves reports that an upstream leaves, though its entry in the list does not say so yet.
-type UpstreamLeaves struct {
+// UpstreamLeaving reports that an upstream shuts down, before its entry in the list says so.
+type UpstreamLeaving struct {
 	id     replica.ID
 	source string
 }
 
 // ID returns the upstream.
-func (u UpstreamLeaves) ID() replica.ID { return u.id }
+func (u UpstreamLeaving) ID() replica.ID { return u.id }
 
-// Source returns where this daemon learnt it: the name of another daemon, or "its answer".
-func (u UpstreamLeaves) Source() string { return u.source }
+// Source returns the daemon that reported it, or "answer" if the upstream announced it to this daemon.
+func (u UpstreamLeaving) Source() string { return u.source }
 
 // Stats counts the work in progress at this daemon; it is emitted once a second.
 type Stats struct {
@@ -148,6 +142,12 @@
 // Lag returns the longest time from when a tick was due until this daemon handled it, since the last Stats.
 func (s Stats) Lag() time.Duration { return s.lag }
 
+// Leaving returns how many listed upstreams shut down.
+func (s Stats) Leaving() int { return s.leaving }
+
+// Throttling returns how many upstreams throttle this daemon now.
+func (s Stats) Throttling() int { return s.throttling }
+
 // Problem is an error to log; processing continues.
 type Problem struct{ message, reason string }
 
@@ -207,4 +207,4 @@
 
 func (StoreAnswerOutdated) isEffect() {}
 
-func (UpstreamLeaves) isEffect() {}
+func (UpstreamLeaving) isEffect() {}
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -6,10 +6,10 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-// The era of the store rises when the store is restored from an older snapshot. What was written since the copy is gone
-// then, and its revisions are given out again, so answers of an earlier era are worthless.
+// The era of the store rises when the store is restored from an older snapshot. Later writes are lost then and their revisions are
+// reused, so an answer of an earlier era can't be compared with one of the present era.
 
-// observeEra applies the era of an answer of the store, and reports whether the answer is not of an earlier one.
+// observeEra applies the era of an answer of the store, and reports whether the answer may be used.
 func (s *State) observeEra(now time.Time, era uint64) bool {
 	switch {
 	case era == 0 || era == s.storeEra:
--- a/pkg/gateway/era_test.go
+++ b/pkg/gateway/era_test.go
@@ -21,7 +21,7 @@
 	return replica.NewMembership("r", epoch, 0, replica.PhaseOpen)
 }
 
-func TestListOfOlderCopy(t *testing.T) {
+func TestListOfRestoredStore(t *testing.T) {
 	start := fleetEpoch
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	none := replica.Membership{}
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -77,10 +77,10 @@
 // NewListFailed returns the event that the platform's list can't be read.
 func NewListFailed() ListFailed { return ListFailed{} }
 
-// LeavingReported reports that an upstream says in an answer that it leaves.
+// LeavingReported reports that an upstream announced in an answer that it shuts down.
 type LeavingReported struct{ id replica.ID }
 
-// NewLeavingReported returns the event that the upstream called id says that it leaves.
+// NewLeavingReported returns the event that the upstream called id announced that it shuts down.
 func NewLeavingReported(id replica.ID) LeavingReported { return LeavingReported{id} }
 
 // Component identifies a state machine within the daemon.
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -11,13 +11,13 @@
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
-func TestUpstreamThatSaysItLeaves(t *testing.T) {
-	Convey("An upstream that says in an answer that it leaves", t, func() {
+func TestLeavingUpstream(t *testing.T) {
+	Convey("An upstream that announces in an answer that it shuts down", t, func() {
 		l := &listing{}
 		none := replica.Membership{}
 		l.apply(fleetEpoch, NewListed([]Upstream{entryOf("i", 1, false, none)}), 0)
 
-		Convey("stays so, whatever its entry says later, until it starts again", func() {
+		Convey("is leaving, whatever its entry says later, until it starts again", func() {
 			So(l.leave("i", 1), ShouldBeTrue)
 			So(l.leave("i", 1), ShouldBeFalse)
 			l.apply(fleetEpoch, NewListChanges([]Upstream{entryOf("i", 1, false, none)}, nil), 0)
@@ -36,7 +36,7 @@
 		})
 	})
 
-	Convey("A head that says to one daemon that it leaves gets no new call from any daemon two seconds later, and is replaced", t, func() {
+	Convey("A head that announces to one daemon that it shuts down gets no new call from any daemon two seconds later, and is replaced", t, func() {
 		size := firstStart()
 		size.engines = 111
 		f := newFleet(size, benchTraffic)
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -19,8 +19,8 @@
 	// removalMemory is how long a removed upstream is remembered, which is longer than the age of a snapshot that the
 	// store may be restored from.
 	removalMemory = time.Minute
-	// holdBackTime is how long an entry is held back whose upstream was removed before the store was restored from an older snapshot.
-	// The store removes it again after three missed heartbeats.
+	// holdBackTime is how long an entry is held back whose upstream had been removed before the store was restored. The store
+	// removes it again after three missed heartbeats.
 	holdBackTime = 5 * time.Second
 )
 
@@ -31,7 +31,7 @@
 	known            bool
 	unavailable      bool                 // neither this daemon nor its source can read the list; entries are kept
 	storeRecoveredAt time.Time            // end of the last outage seen by this daemon
-	left             map[replica.ID]int64 // incarnations of the upstreams that said that they leave
+	left             map[replica.ID]int64 // incarnations of the upstreams that announced in an answer that they shut down
 	removed          map[replica.ID]removal
 	isRestored       bool // the next complete list is of an older snapshot of the store
 	heldBack         map[replica.ID]heldEntry
@@ -43,7 +43,7 @@
 	at          time.Time
 }
 
-// heldEntry is an entry of an older snapshot of the store that was removed since.
+// heldEntry is an entry of an older snapshot whose upstream has been removed since.
 type heldEntry struct {
 	upstream Upstream
 	until    time.Time
@@ -127,7 +127,7 @@
 	return gone
 }
 
-// markLeft returns the entry as leaving if this start of its upstream said so.
+// markLeft returns the entry as leaving if this start of its upstream announced that.
 func (l *listing) markLeft(u Upstream) Upstream {
 	incarnation, hasLeft := l.left[u.instance.ID()]
 	switch {
@@ -151,8 +151,8 @@
 	return true
 }
 
-// restore prepares for the list of a store that is restored from an older snapshot. What upstreams have written since is missing from
-// it until they write it again.
+// restore prepares for the list of a restored store, which lacks what upstreams have written since the snapshot until they write it
+// again.
 func (l *listing) restore(now time.Time) {
 	l.isRestored, l.storeRecoveredAt = true, now
 }
@@ -179,8 +179,8 @@
 	return released
 }
 
-// merge returns a later entry of the same upstream, or an older one if the store is restored from an older snapshot. An upstream that
-// leaves does not come back in the same start.
+// merge returns the next entry of an upstream with what is known from the present one. isOlder says that the next one is of an older
+// snapshot. An upstream that is leaving stays so until its next start.
 func (u Upstream) merge(next Upstream, isOlder bool) Upstream {
 	switch {
 	case isOlder:
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -245,7 +245,8 @@
 		s.listing.unavailable = true
 		return
 	}
-	changed, gone := s.listing.apply(now, Listed{upstreams: update.changed, gone: update.gone, complete: update.complete}, absentGraceOtherReader)
+	list := Listed{upstreams: update.changed, gone: update.gone, complete: update.complete}
+	changed, gone := s.listing.apply(now, list, absentGraceOtherReader)
 	s.applyListChanges(now, changed, gone)
 	s.refreshReady()
 }
--- a/pkg/object/result.go
+++ b/pkg/object/result.go
@@ -18,8 +18,8 @@
 
 func (r resultBase) Era() uint64 { return r.era }
 
-// InEra returns a result with the era of the store that answered. The era rises when the store is restored from an older snapshot of
-// its objects: versions of an earlier era say nothing about the objects of a later one.
+// InEra returns a result with the era of the store that answered. The era rises when the store is restored from an older
+// snapshot. Versions of different eras can't be compared.
 func InEra(result Result, era uint64) Result {
 	switch r := result.(type) {
 	case Found:
--- a/pkg/replica/interval_test.go
+++ b/pkg/replica/interval_test.go
@@ -169,3 +169,20 @@
 		So(l.orders, ShouldBeEmpty)
 	})
 }
+
+func TestPlansOfLateLeader(t *testing.T) {
+	Convey("A leader that observes that it is late does not plan for that", t, func() {
+		l := newLeader()
+		var all []Instance
+		for i := range 48 {
+			all = append(all, engineNumber(i))
+		}
+		l.feed(NewListed(all))
+		l.plans = 0
+		for range 20 {
+			l.now = l.now.Add(10 * time.Millisecond) // below planInterval altogether
+			l.feed(NewDelayed(10 * time.Millisecond))
+		}
+		So(l.plans, ShouldEqual, 0)
+	})
+}
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -13,7 +13,7 @@
 	minProbeTimeout       = 120 * time.Millisecond // fifty round trips
 	maxProbeTimeout       = time.Second            // the list drops a dead instance after three heartbeats
 	maxProbesInFlight     = 32                     // more would take a small instance longer than their timeout to handle
-	probeWaits            = 5                      // times that a probe waits for this daemon: to connect, write, read, decode, and be reduced
+	probeWaits            = 5                      // how often a probe waits for this daemon: to connect, write, read, decode and reduce
 	leaderProbeInterval   = time.Second            // for dead instances, until they answer or are removed from the list
 	followerProbeInterval = 4 * time.Second        // on other daemons; the list drops a silent instance after three heartbeats
 )
--- a/pkg/replica/probe_test.go
+++ b/pkg/replica/probe_test.go
@@ -13,8 +13,9 @@
 type prober struct {
 	now   time.Time
 	state State
-	probe Probe // the last one
-	dead  bool  // the instance was announced dead
+	probe Probe    // the last one
+	dead  bool     // the instance was announced dead
+	again []string // the reasons of the log entries that it answers again
 }
 
 func newProber(lag time.Duration) *prober {
@@ -32,6 +33,10 @@
 			p.probe = effect
 		case AnnounceDead:
 			p.dead = true
+		case LogEntry:
+			if effect.Message() == "instance answers again" {
+				p.again = append(p.again, effect.Reason())
+			}
 		}
 	}
 }
@@ -114,3 +119,18 @@
 		So(p.probe.ID(), ShouldEqual, ID("i"))
 	})
 }
+
+func TestLogOfFalseDeath(t *testing.T) {
+	Convey("The log shows whether an instance that was declared dead had lived or has restarted", t, func() {
+		for incarnation, reason := range map[int64]string{1: "same start", 2: "restarted"} {
+			p := newProber(0)
+			for range maxMissedProbes {
+				p.expire(0)
+			}
+			So(p.dead, ShouldBeTrue)
+			So(p.again, ShouldBeEmpty)
+			p.feed(NewProbed(NewInstance("i", "10.0.0.1:1", "c", "d", incarnation)))
+			So(p.again, ShouldResemble, []string{reason})
+		}
+	})
+}
--- a/pkg/replica/recovery.go
+++ b/pkg/replica/recovery.go
@@ -7,21 +7,20 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// The store may be restored from an older snapshot. Replicas that were recorded since then run on and are not in the
-// record any more, and their members may appear in replicas of the older record. What the engines report decides: it has the
-// epoch of the latest order that each of them carried out. A leader that finds such a record asks all instances, records the
-// replicas that they report, and only then plans.
+// The store may be restored from an older snapshot. The record then lacks replicas that were formed since, and may list their members
+// in replicas that were dissolved. The engines report the replica and the epoch of the last order that they carried out, so a leader
+// with an outdated record asks all of them, records the replicas that they report, and only then plans.
 
 const (
 	// confirmTimeout is how long a leader waits for the reports of all instances. Those that have not answered by then join no
 	// replica before they do.
 	confirmTimeout = 2 * time.Second
 
-	// epochsPerEra is how many epochs are skipped for each restore of the store, since the lost records used
-	// some of them. It is more than are recorded in the age of any copy, which is some seconds.
+	// epochsPerEra is how many epochs are skipped after each restore, as lost records may have used them. A leader records far
+	// fewer within the age of a snapshot, which is some seconds.
 	epochsPerEra = 1 << 12
 
-	// maxReportedEpoch is the highest epoch of a report that is believed. Fencing tokens contain the epoch.
+	// maxReportedEpoch is the highest epoch that is accepted from a report, as fencing tokens have room for no higher one.
 	maxReportedEpoch = 1 << 40
 )
 
--- a/pkg/replica/recovery_test.go
+++ b/pkg/replica/recovery_test.go
@@ -35,7 +35,7 @@
 	return serving
 }
 
-// recordedIn reports whether the record of a daemon has a replica of this epoch.
+// isRecorded reports whether the record of a daemon has a replica of this epoch.
 func (sim *simulation) isRecorded(d int, key replicaEpoch) bool {
 	for _, g := range sim.daemons[d].state.record.groups {
 		if g.name == key.replica && g.epoch == key.epoch {
