--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -28,7 +28,7 @@
 		}
 		go d.callStore(effect)
 	case gateway.DecodeConfig:
-		d.decodeConfig(effect.Document())
+		d.decodeConfig(effect)
 	case gateway.Advertise:
 		addresses := effect.Addresses()
 		d.addresses.Store(&addresses)
@@ -114,7 +114,8 @@
 }
 
 // decodeConfig decodes and applies a configuration. If it is malformed, the previous one remains active.
-func (d *Daemon) decodeConfig(document peer.Document) {
+func (d *Daemon) decodeConfig(effect gateway.DecodeConfig) {
+	document := effect.Document()
 	config, err := d.adapter.Store.DecodeConfig(document.Data())
 	if err != nil {
 		d.log.Info("config", "cannot decode, keeping the previous one", "revision", document.Revision(), "err", err.Error())
@@ -122,7 +123,7 @@
 	}
 	d.config.Store(&config)
 	d.recorder.SetGauge(metrics.ConfigRevision, int64(config.Revision()))
-	d.log.Info("config", "applied", "revision", config.Revision())
+	d.log.Info("config", "applied", "revision", config.Revision(), "source", effect.Source(), "storeAge", effect.StoreAge())
 	// The reducer's goroutine must not block on its own queue. The reducer ignores an older configuration that arrives later.
 	go d.enqueue(gateway.NewConfigDecoded(config))
 }
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -29,7 +29,7 @@
 		s.emit(Store{PeerComponent, effect.Request()})
 	case peer.Adopt:
 		if effect.Document().Name() == configDocument {
-			s.emit(DecodeConfig{effect.Document()})
+			s.emit(DecodeConfig{effect.Document(), effect.Source(), effect.StoreAge()})
 			s.pushConfig(now)
 		}
 	case peer.LearnFact:
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -25,11 +25,21 @@
 func (s Store) Request() object.Request { return s.request }
 
 // DecodeConfig requests that a configuration be decoded; ConfigDecoded carries the result.
-type DecodeConfig struct{ document peer.Document }
+type DecodeConfig struct {
+	document peer.Document
+	source   string
+	storeAge time.Duration
+}
 
 // Document returns the configuration as stored.
 func (d DecodeConfig) Document() peer.Document { return d.document }
 
+// Source returns where the configuration came from: the name of a peer, or peer.StoreSource.
+func (d DecodeConfig) Source() string { return d.source }
+
+// StoreAge returns how long ago the store last answered for the configuration, 0 if it never did.
+func (d DecodeConfig) StoreAge() time.Duration { return d.storeAge }
+
 // Advertise sets the addresses that callers receive from now on.
 type Advertise struct{ addresses []Address }
 
--- a/pkg/peer/effect.go
+++ b/pkg/peer/effect.go
@@ -39,11 +39,24 @@
 func (a ApplyProbeResult) Result() instance.ProbeResult { return a.result }
 
 // Adopt puts a document in force on this daemon. Its revision is higher than any before.
-type Adopt struct{ document Document }
+type Adopt struct {
+	document Document
+	source   string
+	storeAge time.Duration
+}
 
 // Document returns the document to put in force.
 func (a Adopt) Document() Document { return a.document }
 
+// Source returns the name of the peer that sent the document, or StoreSource.
+func (a Adopt) Source() string { return a.source }
+
+// StoreAge returns how long ago the store last answered a read or the watch of the document, 0 if it never did.
+func (a Adopt) StoreAge() time.Duration { return a.storeAge }
+
+// StoreSource is the source of a document that was read from the store.
+const StoreSource = "store"
+
 // LearnFact reports a new or changed fact of a peer.
 type LearnFact struct {
 	topic, key string
--- a/pkg/peer/spread.go
+++ b/pkg/peer/spread.go
@@ -19,16 +19,16 @@
 	if t := s.trackedDocument(d.name); t != nil {
 		t.confirmed = true
 	}
-	s.offerDocument(d)
+	s.offerDocument(StoreSource, d)
 }
 
-// offerDocument adopts a document if its revision is higher than the one in force. While the latest revision is not
+// offerDocument adopts a document of source if its revision is higher than the one in force. While the latest revision is not
 // confirmed, it only keeps the document as a candidate.
-func (s *State) offerDocument(d Document) {
+func (s *State) offerDocument(source string, d Document) {
 	t := s.trackedDocument(d.name)
 	if t != nil && !t.confirmed {
 		if d.revision > t.candidate.revision {
-			t.candidate = d
+			t.candidate, t.candidateSource = d, source
 		}
 		return
 	}
@@ -44,7 +44,7 @@
 		s.self.memberInfo.revision = d.revision
 	}
 	s.queueUpdate(update{document: d.name})
-	s.emit(Adopt{d})
+	s.emit(Adopt{d, source, t.storeAge(s.lastEventAt)})
 }
 
 // highestRevision returns the highest revision of a document that this daemon has, in force or not.
@@ -121,7 +121,7 @@
 // as an answer, by which confirmFromPeers may confirm a document while the store fails.
 func (s *State) acceptDocuments(now time.Time, m Message) {
 	for _, d := range m.documents {
-		s.offerDocument(d)
+		s.offerDocument(m.from, d)
 	}
 	reportsRevisions := len(m.revisions) > 0 || m.digest == 0 || m.digest == s.digest()
 	if !m.synced || !reportsRevisions {
--- a/pkg/peer/store.go
+++ b/pkg/peer/store.go
@@ -32,9 +32,11 @@
 	DocumentSource
 	confirmed       bool     // the revision in force is the latest, as far as can be known
 	candidate       Document // the highest revision received before confirmed
+	candidateSource string
 	nextRead        time.Time
 	retryAt         time.Time // no store request before then
 	sentAt          time.Time
+	answeredAt      time.Time  // when the store last answered
 	ref             object.Ref // of the pending read or the watch, 0 for none
 	watching        bool
 	failures        int
@@ -43,6 +45,14 @@
 	firstAnswerAt   time.Time
 }
 
+// storeAge returns how long ago the store last answered for the document, 0 if it never did or does not hold it.
+func (t *trackedDocument) storeAge(now time.Time) time.Duration {
+	if t == nil || t.answeredAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.answeredAt)
+}
+
 func (s *State) trackedDocument(name string) *trackedDocument {
 	for _, t := range s.trackedDocuments {
 		if t.name == name {
@@ -151,7 +161,7 @@
 		s.handleStoreFailure(now, t)
 		return
 	}
-	t.failures = 0
+	t.failures, t.answeredAt = 0, now
 	if !t.watching {
 		delete(s.storeRequests, t.ref)
 		t.ref = 0
@@ -167,8 +177,8 @@
 		return
 	}
 	t.confirmed = true
-	s.offerDocument(t.candidate)
-	s.offerDocument(NewDocument(t.name, number, data))
+	s.offerDocument(t.candidateSource, t.candidate)
+	s.offerDocument(StoreSource, NewDocument(t.name, number, data))
 }
 
 // revisionIn returns the number in a top-level field of a JSON object.
@@ -221,7 +231,7 @@
 		}
 		if s.hasEnoughAnswers(t) && s.highestRevision(t.name) >= t.highestReported {
 			t.confirmed = true
-			s.offerDocument(t.candidate)
+			s.offerDocument(t.candidateSource, t.candidate)
 		}
 	}
 }
