gateway, platform, link: Reproduce CONFIG with connections that fall silent

The simulated fleet gets watches that call the store again and again, as the adapter does, with revisions that are given out again after a restore, connections that fall silent, restarts, and an operator who writes again.

--- a/pkg/gateway/fleet_engines_test.go
+++ b/pkg/gateway/fleet_engines_test.go
@@ -39,7 +39,7 @@
 	entry := f.entry(e)
 	f.after(fleetListDelay, func() {
 		for _, d := range f.daemons {
-			if d.watching {
+			if d.watching && !d.listSilent {
 				f.feed(d, NewListChanges([]Upstream{entry}, nil))
 			}
 		}
@@ -52,7 +52,7 @@
 	f.after(fleetUnlistDelay, func() {
 		e.listed = false
 		for _, d := range f.daemons {
-			if d.watching {
+			if d.watching && !d.listSilent {
 				f.feed(d, NewListChanges(nil, []replica.ID{e.id}))
 			}
 		}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -88,6 +88,11 @@
 	busyUntil     time.Time // by the events that wait for the processor
 	cores         float64
 	falseDeaths   int // live engines that this daemon declared dead
+	watches       []*fleetWatch
+	listWatch     int       // number of the watch of the list
+	listSilent    bool      // its connection delivers nothing
+	pooledSilent  bool      // the idle connections to the store deliver nothing
+	disturbedAt   time.Time // last start, end of a freeze, or loss of connections
 }
 
 // fleetCall is a call at a daemon.
@@ -138,10 +143,12 @@
 	byName    map[string]*fleetDaemon
 	byAddr    map[string]*fleetDaemon
 	linked    map[[2]string]bool
+	silent    map[[2]string]bool // links that deliver nothing
 	engines   []*fleetEngine
 	byID      map[replica.ID]*fleetEngine
 	objects   map[string][]byte
 	versions  map[string]int
+	revision  int                   // of the store
 	written   []fleetWrite          // all writes, the latest last
 	era       uint64                // of the store
 	traffic   time.Time             // its start
@@ -158,6 +165,7 @@
 		size: size, now: fleetEpoch, random: rand.New(rand.NewPCG(1, 2)), byName: map[string]*fleetDaemon{},
 		byAddr: map[string]*fleetDaemon{}, linked: map[[2]string]bool{}, byID: map[replica.ID]*fleetEngine{},
 		objects: map[string][]byte{fleetConfigKey.String(): []byte(`{"version":1}`)}, versions: map[string]int{fleetConfigKey.String(): 1},
+		revision: 1, silent: map[[2]string]bool{},
 		traffic: fleetEpoch.Add(traffic), era: 1, calls: map[string]*fleetCall{},
 		attempts: map[string]*fleetAttempt{},
 	}
@@ -184,14 +192,16 @@
 }
 
 // config returns the configuration that all daemons decode.
-func (f *fleet) config() route.Config {
+func (f *fleet) config() route.Config { return f.configOf(1) }
+
+func (f *fleet) configOf(revision uint64) route.Config {
 	engine := route.NewEngine(22,
 		route.NewModel("large", f.size.large, 0.5, 1).WithLoadTimes(16*time.Second, 1600*time.Millisecond),
 		route.NewModel("small", f.size.small, 0.5, 0.6).WithLoadTimes(12*time.Second, 1100*time.Millisecond)).
 		WithStepTimes(6070*time.Microsecond, 241*time.Microsecond, 8, 46000, 2048).
 		WithLoadLimits(f.size.loadsPerSecond, f.size.concurrentLoads, 1, 300*time.Millisecond).
 		WithCrossDomainFactor(2.5)
-	return route.New(1).
+	return route.New(revision).
 		WithServices(route.NewService("engines", "/h", 1988).WithEngine(engine)).
 		WithRoutes(route.NewRoute("draft", "pond", "/draft/", route.Stream).
 			WithTimes(6*time.Second, 400*time.Millisecond, 250*time.Millisecond).WithMaxAttempts(2).WithResumable(true).
@@ -218,7 +228,7 @@
 
 func (f *fleet) start(d *fleetDaemon, i int) {
 	isFirst := d.started.IsZero()
-	d.started, d.cores = f.now, f.cores(i)
+	d.started, d.cores, d.disturbedAt, d.watches, d.pooledSilent = f.now, f.cores(i), f.now, nil, false
 	settings := NewSettings(d.name, fmt.Sprintf("c%d", i%f.size.centres), fmt.Sprint(f.now.UnixNano()), uint64(i+1)).
 		WithAddresses(d.address, d.address).WithSeeds(f.daemons[0].address, f.daemons[1].address, f.daemons[2].address).
 		WithBootstrap(isFirst).WithResources(f.cores(i), f.cores(i)*250e6).WithConfig(fleetConfigKey, "version").WithRecord(fleetRecordKey).
@@ -270,14 +280,14 @@
 		d.storeCalls++
 		f.after(fleetStoreDelay, func() { f.callStore(d, effect) })
 	case DecodeConfig:
-		f.after(0, func() { f.feed(d, NewConfigDecoded(f.config())) })
+		f.after(0, func() { f.feed(d, NewConfigDecoded(f.configOf(effect.Document().Revision()))) })
 	case LeaderChanged:
 		d.leaderChanges = append(d.leaderChanges, f.now)
 	case WatchUpstreams:
-		d.watching = effect.Enabled()
+		d.watching, d.listSilent = effect.Enabled(), false
+		d.listWatch++
 		if d.watching {
-			d.storeCalls++
-			f.after(fleetStoreDelay, func() { f.feed(d, NewListed(f.listed()).WithEra(f.era)) })
+			f.readList(d, fleetStoreDelay)
 		}
 	case PeerEffect:
 		switch effect := effect.Effect().(type) {
@@ -285,6 +295,8 @@
 			f.send(d, effect)
 		case peer.ResetLinks:
 			f.closeLinks(d)
+		case peer.StopWatches:
+			d.watches = nil
 		}
 	case ReplicaEffect:
 		f.applyReplica(d, effect.Effect())
@@ -317,6 +329,9 @@
 			f.feed(d, NewPeerEvent(peer.NewLinkOpened(to.name, to.address)))
 		})
 	}
+	if f.silent[pair] {
+		return
+	}
 	life := to.life
 	f.after(fleetLinkDelay, func() {
 		if to.life != life {
@@ -336,19 +351,26 @@
 	for _, other := range f.daemons {
 		pair := [2]string{min(d.name, other.name), max(d.name, other.name)}
 		if f.linked[pair] {
-			delete(f.linked, pair)
-			f.after(0, func() {
-				f.feed(d, NewPeerEvent(peer.NewLinkClosed(other.name, other.address)))
-				f.feed(other, NewPeerEvent(peer.NewLinkClosed(d.name, d.address)))
-			})
+			f.closeLink(pair)
 		}
 	}
 }
 
+// closeLink closes the link between two daemons and tells both.
+func (f *fleet) closeLink(pair [2]string) {
+	delete(f.linked, pair)
+	delete(f.silent, pair)
+	a, b := f.byName[pair[0]], f.byName[pair[1]]
+	f.after(0, func() {
+		f.feed(a, NewPeerEvent(peer.NewLinkClosed(b.name, b.address)))
+		f.feed(b, NewPeerEvent(peer.NewLinkClosed(a.name, a.address)))
+	})
+}
+
 // freeze suspends a daemon, which receives nothing meanwhile.
 func (f *fleet) freeze(d *fleetDaemon, duration time.Duration) {
 	d.down = true
-	f.after(duration, func() { d.down = false })
+	f.after(duration, func() { d.down, d.disturbedAt = false, f.now })
 }
 
 func (f *fleet) callStore(d *fleetDaemon, effect Store) {
@@ -361,15 +383,22 @@
 	reply := func(result object.Result) {
 		f.feed(d, NewStoreCompleted(effect.Component(), object.InEra(result, f.era)))
 	}
+	if d.pooledSilent {
+		f.after(fleetCallTimeout, func() {
+			d.pooledSilent = false
+			f.feed(d, NewStoreCompleted(effect.Component(), object.NewLost(ref)))
+		})
+		return
+	}
 	switch r := request.(type) {
+	case object.Watch:
+		f.watchObject(d, effect)
 	case object.Put:
 		if r.ExpectedVersion() != version {
 			reply(object.NewConflict(ref))
 			return
 		}
-		f.written = append(f.written, fleetWrite{f.now, key, f.versions[key], f.objects[key]})
-		f.versions[key]++
-		f.objects[key] = r.Data()
+		f.write(key, r.Data())
 		reply(object.NewStored(ref, object.Version(fmt.Sprint(f.versions[key]))))
 	default:
 		if version == "" {
@@ -379,27 +408,3 @@
 		reply(object.NewFound(ref, version, f.objects[key]))
 	}
 }
-
-// fleetWrite is a write to the store, with what it replaced.
-type fleetWrite struct {
-	at      time.Time
-	key     string
-	version int
-	before  []byte
-}
-
-// restoreStore restores the store from a snapshot of this age. The daemons that watch the list notice, and read it again.
-func (f *fleet) restoreStore(age time.Duration) {
-	f.era++
-	for len(f.written) > 0 && f.now.Sub(f.written[len(f.written)-1].at) < age {
-		last := f.written[len(f.written)-1]
-		f.versions[last.key], f.objects[last.key] = last.version, last.before
-		f.written = f.written[:len(f.written)-1]
-	}
-	for _, d := range f.daemons {
-		if d.watching {
-			d.storeCalls++
-			f.after(fleetListDelay, func() { f.feed(d, NewListed(f.listed()).WithEra(f.era)) })
-		}
-	}
-}
--- a/pkg/gateway/processor_test.go
+++ b/pkg/gateway/processor_test.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// restart kills a daemon, which starts again at once.
+func (f *fleet) restart(d *fleetDaemon) {
+	d.down, d.watching = true, false
+	f.closeLinks(d)
+	d.life++
+	f.after(fleetTick, func() {
+		d.State, d.down, d.busyUntil = State{}, false, f.now
+		f.start(d, slices.Index(f.daemons, d))
+	})
+}
+
 // onTime returns the share of the calls whose first event met the goal, of those that arrived between two times after the start.
 func (f *fleet) onTime(from, to time.Duration) float64 {
 	all, good := 0, 0
