--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/peer"
 )
 
@@ -82,6 +83,11 @@
 		_ = c.Close()
 		return
 	}
+	if tcp, isTCP := c.(*net.TCPConn); isTCP {
+		if err := transport.DetectDeadPath(tcp); err != nil {
+			klog.InfoS("link: Cannot set the timeouts of an inbound connection.", "from", c.RemoteAddr().String(), "err", err.Error())
+		}
+	}
 	h.group.Go(func() error {
 		defer h.releaseInbound()
 		if err := h.handshakeAndServe(c, tls.Server); err != nil {
@@ -152,7 +158,7 @@
 
 // dialAndServe connects to a peer and serves the connection. It reports a failure to connect as peer.LinkClosed.
 func (h *Hub) dialAndServe(name, address string, payload []byte) {
-	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	c, err := transport.Dialer(dialTimeout).Dial("tcp", address)
 	h.mutex.Lock()
 	delete(h.dialing, address)
 	h.mutex.Unlock()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -25,25 +25,41 @@
 // soTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
 const soTCPUserTimeout = 0x12
 
+// keepAlive are the keepalive probes of connections that detect a dead path.
+var keepAlive = net.KeepAliveConfig{
+	Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
+}
+
 // Dialer returns a dialer whose connections detect a dead path within seconds.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var socketErr error
-			err := raw.Control(func(fd uintptr) {
-				socketErr = syscall.SetsockoptInt(
-					int(fd), syscall.IPPROTO_TCP, soTCPUserTimeout, int(tcpUserTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return socketErr
-		},
+		Timeout:         timeout,
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+	}
+}
+
+// DetectDeadPath makes an accepted TCP connection detect a dead path within seconds, as those of Dialer do.
+func DetectDeadPath(c *net.TCPConn) error {
+	if err := c.SetKeepAliveConfig(keepAlive); err != nil {
+		return err
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw)
+}
+
+func setUserTimeout(raw syscall.RawConn) error {
+	var socketErr error
+	err := raw.Control(func(fd uintptr) {
+		socketErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, soTCPUserTimeout, int(tcpUserTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
 	}
+	return socketErr
 }
 
 // Pool keeps idle connections to upstreams. The zero value is ready to use.
