gateway, peer: Replace watches of the store that fall silent

Class: a failure detector whose time was chosen for itself, and not from the promise that depends on it.

The store answers each call of a watch after a known time, so the adapter now reports answers without a change too (StillCurrent, ListUnchanged), and the gateway replaces a watch that is not answered within 1.5 times that time, allowing for its own lag and pauses: over a new connection, and without a backoff, which a read after a lost watch had too. Watches of before a freeze end, where they went on beside the new ones.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -39,11 +39,14 @@
 type Store interface {
 	// Do executes one request.
 	Do(ctx context.Context, request object.Request) object.Result
-	// Watch delivers each version of an object until the watch fails or ctx is cancelled.
+	// Watch delivers each version of an object, and object.StillCurrent for each answer without a change, until the watch fails or ctx
+	// is cancelled.
 	Watch(ctx context.Context, request object.Watch, deliver func(object.Result))
-	// WatchUpstreams delivers gateway.Listed and gateway.ListFailed events until ctx is cancelled; it reads changes at most once
-	// in each interval.
+	// WatchUpstreams delivers gateway.Listed, gateway.ListUnchanged and gateway.ListFailed events until ctx is cancelled; it reads
+	// changes at most once in each interval.
 	WatchUpstreams(ctx context.Context, interval time.Duration, deliver func(gateway.Event))
+	// CloseIdle closes the connections that no call uses, so that the next calls open new ones.
+	CloseIdle()
 	// DecodeConfig parses a configuration from the store.
 	DecodeConfig(data []byte) (route.Config, error)
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -40,6 +40,10 @@
 		close(d.acceptStopped)
 	case gateway.Stopped:
 		close(d.stopped)
+	case gateway.ResetStore:
+		d.recorder.StoreWatchSilent()
+		d.log.Info("store", "watch silent", "watch", effect.Watch(), "silence", effect.Silence())
+		d.adapter.Store.CloseIdle()
 	case gateway.WatchUpstreams:
 		d.watchUpstreams(effect)
 	case gateway.Stats:
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -60,6 +60,11 @@
 		nil,
 		"lines", "Lines of the log that were dropped since nobody read them.",
 	}
+	SilentStoreWatches = Metric{
+		"azurepond_store_silent_watches_total",
+		nil,
+		"watches", "Watches that the store did not answer in time, and that were replaced over a new connection.",
+	}
 	StoreRestores = Metric{
 		"azurepond_store_restores_total",
 		nil,
@@ -120,6 +125,9 @@
 // ProbeEnded counts a probe of an engine by its result.
 func (r *Recorder) ProbeEnded(result string) { r.increment(Probes.RegistryName(result)) }
 
+// StoreWatchSilent counts a watch that the store did not answer in time and that was replaced over a new connection.
+func (r *Recorder) StoreWatchSilent() { r.increment(SilentStoreWatches.RegistryName()) }
+
 // StoreRestored counts that the store was restored from an older snapshot, and sets its era.
 func (r *Recorder) StoreRestored(era uint64) {
 	r.increment(StoreRestores.RegistryName())
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/object"
 	"github.com/azurepond/azurepond/pkg/peer"
 	"github.com/azurepond/azurepond/pkg/replica"
 )
@@ -26,6 +27,9 @@
 func (s *State) handlePeerEffect(now time.Time, effect peer.Effect) {
 	switch effect := effect.(type) {
 	case peer.Store:
+		if watch, isWatch := effect.Request().(object.Watch); isWatch {
+			s.configWatch = storeWatch{ref: watch.Ref()}
+		}
 		s.emit(Store{PeerComponent, effect.Request()})
 	case peer.Adopt:
 		if effect.Document().Name() == configDocument {
@@ -42,7 +46,10 @@
 	case peer.ResetLinks:
 		s.resume(now)
 		s.emit(PeerEffect{effect})
-	case peer.Send, peer.StopWatches:
+	case peer.StopWatches:
+		s.configWatch = storeWatch{}
+		s.emit(PeerEffect{effect})
+	case peer.Send:
 		s.emit(PeerEffect{effect})
 	}
 }
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -83,6 +83,19 @@
 // Owners returns their names, by rank.
 func (s ShardOwnersChanged) Owners() []string { return s.owners }
 
+// ResetStore closes the connections to the store that are not in use, so that the next calls open new ones. A watch delivered
+// nothing on one of them.
+type ResetStore struct {
+	watch   string
+	silence time.Duration
+}
+
+// Watch returns what the silent watch is of.
+func (r ResetStore) Watch() string { return r.watch }
+
+// Silence returns the time since the last answer of the watch.
+func (r ResetStore) Silence() time.Duration { return r.silence }
+
 // WatchUpstreams starts, restarts or stops watching the platform's list of upstreams.
 type WatchUpstreams struct{ interval time.Duration }
 
@@ -201,6 +214,8 @@
 
 func (ShardOwnersChanged) isEffect() {}
 
+func (ResetStore) isEffect() {}
+
 func (WatchUpstreams) isEffect() {}
 
 func (Stats) isEffect() {}
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -71,6 +71,12 @@
 	return Listed{upstreams: changed, gone: gone}
 }
 
+// ListUnchanged reports that the store has answered the watch of the list, which has not changed.
+type ListUnchanged struct{}
+
+// NewListUnchanged returns the event that the list has not changed since the last one.
+func NewListUnchanged() ListUnchanged { return ListUnchanged{} }
+
 // ListFailed reports that the platform's list can't be read.
 type ListFailed struct{}
 
@@ -146,6 +152,8 @@
 
 func (LeavingReported) isEvent() {}
 
+func (ListUnchanged) isEvent() {}
+
 func (ListFailed) isEvent() {}
 
 func (StoreCompleted) isEvent() {}
--- a/pkg/gateway/fleet_store_test.go
+++ b/pkg/gateway/fleet_store_test.go
@@ -122,6 +122,11 @@
 		f.listWatched(w)
 		return
 	}
+	f.after(fleetStoreDelay, func() {
+		if f.isWatching(w) {
+			f.deliverWatch(w, object.NewStillCurrent(w.effect.Request().Ref()))
+		}
+	})
 	f.poll(w)
 }
 
@@ -134,6 +139,17 @@
 	f.after(delay, func() {
 		if d.listWatch == number {
 			f.feed(d, NewListed(f.listed()).WithEra(f.era))
+			f.pollList(d, number)
+		}
+	})
+}
+
+// pollList answers the calls of a watch of the list, as if nothing changed; changes come by themselves.
+func (f *fleet) pollList(d *fleetDaemon, number int) {
+	f.after(fleetWatchWait, func() {
+		if d.listWatch == number && d.watching && !d.listSilent {
+			f.feed(d, NewListUnchanged())
+			f.pollList(d, number)
 		}
 	})
 }
--- a/pkg/gateway/lag.go
+++ b/pkg/gateway/lag.go
@@ -26,6 +26,8 @@
 		m.receivedAt[name] = at.Add(pause)
 	}
 	s.listSync.receivedAt = s.listSync.receivedAt.Add(pause)
+	s.listSync.watch.discountPause(pause)
+	s.configWatch.discountPause(pause)
 }
 
 // observeLag records how late this daemon handles a tick, or how long the next one is overdue.
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -24,6 +24,7 @@
 	recordKey     object.Key
 	retryLimits   dispatch.RetryLimits
 	shutdownDelay time.Duration
+	watchWait     time.Duration
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; incarnation must be unique to each start
@@ -75,6 +76,13 @@
 	return s
 }
 
+// WithWatchWait returns the settings with how long one call of a watch waits for a change in the store; 0 for watches whose
+// calls are not answered regularly.
+func (s Settings) WithWatchWait(wait time.Duration) Settings {
+	s.watchWait = wait
+	return s
+}
+
 // WithRetryLimits returns the settings with the limits on retries of all daemons together.
 func (s Settings) WithRetryLimits(limits dispatch.RetryLimits) Settings {
 	s.retryLimits = limits
--- /dev/null
+++ b/pkg/gateway/silence.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/object"
+	"github.com/azurepond/azurepond/pkg/peer"
+)
+
+// A connection may fall silent without a reset while new ones work. The store answers each call of a watch after a known time, also
+// if nothing changed, so a watch without answers is replaced by one over a new connection.
+
+// silentWatchShare is the time without an answer after which a watch counts as silent, as a share of the wait of its calls.
+const silentWatchShare = 1.5
+
+// storeWatch is when the store last answered a watch; the zero value is a watch that was not answered yet.
+type storeWatch struct {
+	ref        object.Ref // of the watch of an object, 0 for none
+	answeredAt time.Time
+}
+
+// silence returns how long a watch that was answered before has been silent.
+func (w storeWatch) silence(now time.Time) time.Duration {
+	if w.answeredAt.IsZero() {
+		return 0
+	}
+	return now.Sub(w.answeredAt)
+}
+
+// discountPause takes a pause of this daemon off the silence of the watch.
+func (w *storeWatch) discountPause(pause time.Duration) {
+	if !w.answeredAt.IsZero() {
+		w.answeredAt = w.answeredAt.Add(pause)
+	}
+}
+
+// observeConfigWatch records an answer to the watch of the configuration.
+func (s *State) observeConfigWatch(now time.Time, result object.Result) {
+	if s.configWatch.ref == 0 || result.Ref() != s.configWatch.ref {
+		return
+	}
+	switch result.(type) {
+	case object.Found, object.Absent, object.StillCurrent:
+		s.configWatch.answeredAt = now
+	default:
+		s.configWatch = storeWatch{}
+	}
+}
+
+// replaceSilentWatches replaces the watches that were not answered in time.
+func (s *State) replaceSilentWatches(now time.Time) {
+	if s.settings.watchWait == 0 {
+		return
+	}
+	limit := time.Duration(silentWatchShare*float64(s.settings.watchWait)) + s.lag.Recent(now)
+	if silence := s.configWatch.silence(now); silence > limit {
+		s.configWatch = storeWatch{}
+		s.emit(ResetStore{configDocument, silence})
+		s.reducePeer(now, peer.NewRereadRequested())
+	}
+	if silence := s.listSync.watch.silence(now); silence > limit+s.listSync.watchInterval {
+		s.listSync.watch = storeWatch{}
+		s.emit(ResetStore{"upstreams", silence})
+		s.emit(WatchUpstreams{s.listSync.watchInterval})
+	}
+}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -36,6 +36,7 @@
 	listing       listing
 	members       members
 	listSync      listSync
+	configWatch   storeWatch
 	random        *rand.Rand
 
 	addresses        []Address
@@ -67,10 +68,14 @@
 	case ConfigDecoded:
 		s.configure(now, e.config)
 	case Listed:
+		s.listSync.watch.answeredAt = now
 		if s.observeEra(now, e.era) {
 			s.applyList(now, e)
 		}
+	case ListUnchanged:
+		s.listSync.watch.answeredAt = now
 	case ListFailed:
+		s.listSync.watch = storeWatch{}
 		s.listFailed(now)
 	case LeavingReported:
 		s.reportLeaving(now, e.id)
@@ -137,6 +142,7 @@
 	}
 	switch e.component {
 	case PeerComponent:
+		s.observeConfigWatch(now, e.result)
 		s.reducePeer(now, peer.NewStoreCompleted(e.result))
 	case ReplicaComponent:
 		s.reduceReplica(now, replica.NewStoreCompleted(e.result))
@@ -230,6 +236,7 @@
 	}
 	s.refreshMembers(now)
 	s.refreshListSync(now)
+	s.replaceSilentWatches(now)
 	if now.Sub(s.demandReportedAt) >= demandInterval {
 		s.reportDemand(now)
 	}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -28,8 +28,9 @@
 
 // listSync is the state of a daemon as a reader of the list, and as a subscriber of another reader.
 type listSync struct {
-	watchesStore   bool                 // this daemon watches the list itself
-	watchInterval  time.Duration        // the minimum time between two reads of changes, 0 for no watch
+	watchesStore   bool          // this daemon watches the list itself
+	watchInterval  time.Duration // the minimum time between two reads of changes, 0 for no watch
+	watch          storeWatch
 	start          uint64               // identifies this start of the daemon
 	revision       uint64               // of the last update sent
 	subscribers    map[string]time.Time // time of their last request
@@ -125,6 +126,7 @@
 func (s *State) watchUpstreams(interval time.Duration) {
 	if s.listSync.watchInterval != interval {
 		s.listSync.watchInterval, s.listSync.watchesStore = interval, interval > 0
+		s.listSync.watch = storeWatch{}
 		s.emit(WatchUpstreams{interval})
 	}
 }
--- a/pkg/object/request.go
+++ b/pkg/object/request.go
@@ -83,7 +83,7 @@
 // ExpectedVersion returns the version that the removal is conditional on.
 func (d Delete) ExpectedVersion() Version { return d.expectedVersion }
 
-// Watch requests one result for the current state of an object and one for each change.
+// Watch requests one result for the current state of an object and one for each change, with StillCurrent results in between.
 type Watch struct{ requestBase }
 
 // NewWatch returns a watch of key.
--- a/pkg/object/result.go
+++ b/pkg/object/result.go
@@ -1,6 +1,6 @@
 package object
 
-// Result is the result of a Request: Found, Absent, Stored, Conflict, Refused or Lost.
+// Result is the result of a Request: Found, Absent, StillCurrent, Stored, Conflict, Refused or Lost.
 type Result interface {
 	// Ref returns the reference of the request.
 	Ref() Ref
@@ -28,6 +28,9 @@
 	case Absent:
 		r.era = era
 		return r
+	case StillCurrent:
+		r.era = era
+		return r
 	case Stored:
 		r.era = era
 		return r
@@ -70,6 +73,12 @@
 // NewAbsent returns the result of a read that found nothing.
 func NewAbsent(ref Ref) Absent { return Absent{resultBase{ref: ref}} }
 
+// StillCurrent is a result of a Watch: the store has answered, and the object has not changed since the last result.
+type StillCurrent struct{ resultBase }
+
+// NewStillCurrent returns the result of a watch whose object has not changed since the last result.
+func NewStillCurrent(ref Ref) StillCurrent { return StillCurrent{resultBase{ref: ref}} }
+
 // Stored is the result of a write that took effect.
 type Stored struct {
 	resultBase
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -99,6 +99,13 @@
 // NewStoreWatchChanged returns the event that enables or disables the watches of documents in the store.
 func NewStoreWatchChanged(enabled bool) StoreWatchChanged { return StoreWatchChanged{enabled} }
 
+// RereadRequested requests the documents to be read from the store again, over new connections, since the watches can't be trusted.
+type RereadRequested struct{}
+
+// NewRereadRequested returns the event that restarts the reads and watches of all documents in the store. Those in force stay in
+// force meanwhile.
+func NewRereadRequested() RereadRequested { return RereadRequested{} }
+
 // DocumentPushRequested requests a document to be sent to one peer immediately.
 type DocumentPushRequested struct{ name, document string }
 
@@ -152,6 +159,8 @@
 
 func (StoreWatchChanged) isEvent() {}
 
+func (RereadRequested) isEvent() {}
+
 func (DocumentPushRequested) isEvent() {}
 
 func (Leaving) isEvent() {}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -126,6 +126,8 @@
 		s.shareFact(now, e)
 	case StoreWatchChanged:
 		s.setStoreWatch(now, e.enabled)
+	case RereadRequested:
+		s.rereadDocuments(now)
 	case DocumentPushRequested:
 		s.pushDocument(now, e)
 	case DirectMessageRequested:
--- a/pkg/peer/store.go
+++ b/pkg/peer/store.go
@@ -86,10 +86,28 @@
 	for _, t := range s.trackedDocuments {
 		t.confirmed = false
 		t.answeredBy, t.highestReported = nil, 0
+	}
+	s.stopReads(now)
+	s.documentRequests = map[string]documentRequest{}
+}
+
+// rereadDocuments reads all documents from the store again.
+func (s *State) rereadDocuments(now time.Time) {
+	s.stopReads(now)
+	s.readDocuments(now)
+}
+
+// stopReads abandons the reads and watches of documents in the store. They are due again at once.
+func (s *State) stopReads(now time.Time) {
+	watching := false
+	for _, t := range s.trackedDocuments {
+		watching = watching || t.watching
 		t.ref, t.watching, t.nextRead, t.retryAt, t.failures = 0, false, now, now, 0
 	}
 	s.storeRequests = map[object.Ref]*trackedDocument{}
-	s.documentRequests = map[string]documentRequest{}
+	if watching {
+		s.emit(StopWatches{})
+	}
 }
 
 // readDocuments requests the documents that are due from the store.
@@ -155,6 +173,7 @@
 	switch r := result.(type) {
 	case object.Found:
 		s.handleDocumentData(t, r.Data())
+	case object.StillCurrent:
 	case object.Absent:
 		t.confirmed = true
 	default:
@@ -195,7 +214,10 @@
 func (s *State) handleStoreFailure(now time.Time, t *trackedDocument) {
 	delete(s.storeRequests, t.ref)
 	t.ref, t.watching = 0, false
-	t.retryAt = now.Add(s.jitter(min(minBackoff<<min(t.failures, 10), s.settings.MaxBackoff())))
+	t.retryAt = now
+	if t.failures > 0 || now.Sub(t.sentAt) < minBackoff { // a lost watch is replaced at once, unless it was just started
+		t.retryAt = now.Add(s.jitter(min(minBackoff<<min(t.failures, 10), s.settings.MaxBackoff())))
+	}
 	t.nextRead = t.retryAt
 	t.failures++
 }
