gateway: Read the configuration again when the store was restored

observeEra renewed the list and the record, while the watch of the configuration went on from a revision of the earlier era. The store gives that revision out again, so a version written meanwhile was seen only when the call of the watch ended, up to a second later. TestConfigWatchOfEarlierEra failed before (era 1 instead of 2).

--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/peer"
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
@@ -24,6 +25,7 @@
 	if before != 0 {
 		s.listing.restore(now)
 		s.shareStoreAccess(now)
+		s.reducePeer(now, peer.NewRereadRequested())
 		s.emit(StoreRestored{before, era})
 	}
 	return true
--- a/pkg/gateway/era_test.go
+++ b/pkg/gateway/era_test.go
@@ -109,6 +109,24 @@
 	})
 }
 
+func TestConfigWatchOfEarlierEra(t *testing.T) {
+	Convey("Readers that notice a restored store read the configuration again before their watch ends", t, func() {
+		f := newFleet(smallFleet(), time.Minute)
+		f.run(8 * time.Second)
+		f.restoreStore(time.Second)
+		f.run(8*time.Second + fleetListDelay + 4*fleetStoreDelay)
+		readers := 0
+		for _, d := range f.daemons {
+			So(len(d.watches), ShouldEqual, 1)
+			if d.watching {
+				readers++
+				So(d.watches[0].era, ShouldEqual, 2)
+			}
+		}
+		So(readers, ShouldEqual, minReaders)
+	})
+}
+
 func TestRestoredStoreOfFleet(t *testing.T) {
 	Convey("When the store of 120 daemons is restored from an older snapshot, the record has all replicas again within three seconds", t, func() {
 		size := firstStart()
