--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -16,9 +16,15 @@
 // recordDecision logs and counts a decision on a request.
 func (d *Daemon) recordDecision(n dispatch.Note) {
 	in := n.Inputs()
-	d.log.Info("dispatch", n.Decision(), "id", n.Name(), "content", strconv.FormatUint(n.ContentHash(), 16),
+	fields := []any{
+		"id", n.Name(), "content", strconv.FormatUint(n.ContentHash(), 16),
 		"route", n.Route(), "upstream", n.Upstream(), "reason", n.Reason(), "after", n.SinceArrival(), "upstreams", in.Upstreams(),
-		"calls", in.Calls(), "expected", in.Expected(), "waiting", in.Waiting(), "age", in.ReportAge())
+		"calls", in.Calls(), "expected", in.Expected(), "waiting", in.Waiting(), "age", in.ReportAge(),
+	}
+	if len(n.Parts()) > 0 && concernsCrash(n) {
+		fields = append(fields, "parts", n.Parts())
+	}
+	d.log.Info("dispatch", n.Decision(), fields...)
 	d.recorder.RequestDecided(n.Route(), n.Decision(), n.Reason())
 	switch n.Decision() {
 	case dispatch.NoteSent:
@@ -28,6 +34,11 @@
 	}
 }
 
+// concernsCrash reports whether a decision may be about a request that crashes upstreams.
+func concernsCrash(n dispatch.Note) bool {
+	return n.Reason() == dispatch.Interrupted.String() || n.Reason() == dispatch.Poison.String()
+}
+
 // recordStats updates the metrics of the work in progress.
 func (d *Daemon) recordStats(s gateway.Stats) {
 	d.recorder.SetGauge(metrics.ActiveRequests, int64(s.Active()), "running")
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -24,6 +24,7 @@
 	outputTokens int // the maximum
 	timeout      time.Duration
 	contentHash  uint64
+	parts        []string
 	resumeAfter  string
 	arrived      time.Time
 }
@@ -51,6 +52,15 @@
 	return r
 }
 
+// maxParts limits the parts of a prompt that are considered, each of which takes memory when an upstream crashes.
+const maxParts = 64
+
+// WithParts returns the request with the names of the parts of its prompt that other requests may share, in order.
+func (r Request) WithParts(parts ...string) Request {
+	r.parts = parts[:min(len(parts), maxParts)]
+	return r
+}
+
 // WithResume returns the request with the id of the last event that the caller received, empty for none.
 func (r Request) WithResume(lastEventID string) Request {
 	r.resumeAfter = lastEventID
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -213,6 +213,7 @@
 type Note struct {
 	name         string
 	contentHash  uint64
+	parts        []string
 	decision     string
 	route        string
 	upstream     string
@@ -236,6 +237,9 @@
 // ContentHash returns the hash of the request's content, the same in the log lines of all its copies.
 func (n Note) ContentHash() uint64 { return n.contentHash }
 
+// Parts returns the names of the shared parts of the request's prompt, in order.
+func (n Note) Parts() []string { return n.parts }
+
 // Decision returns the decision, one of the Note constants.
 func (n Note) Decision() string { return n.decision }
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -175,7 +175,7 @@
 
 // note emits a Note of a decision on a call.
 func (s *State) note(now time.Time, c *call, decision, upstream, reason string, inputs Inputs) {
-	s.emit(Note{c.name, c.contentHash, decision, c.route.Name(), upstream, reason, now.Sub(c.arrived), inputs})
+	s.emit(Note{c.name, c.contentHash, c.parts, decision, c.route.Name(), upstream, reason, now.Sub(c.arrived), inputs})
 }
 
 func (s *State) budget(service string) *budget {
