--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -30,6 +30,10 @@
 	withoutReplicas int            // number of daemons that list no replica
 	organisation    string         // of the next requests, empty for "one"
 	callerTimeout   time.Duration  // of the next arrivals, 0 for callTimeout
+	downTime        time.Duration  // for which a replica that crashed does not answer
+	downUntil       map[string]time.Time
+	poisonSends     []time.Time // of requests with the part that crashes upstreams
+	crashedAt       []time.Time
 }
 
 // clusterCall is a request to one daemon.
@@ -45,12 +49,15 @@
 	refusedAfter time.Duration
 	reason       Reason
 	contentHash  uint64
+	parts        []string
+	sends        int
+	begunAtFirst bool // its first attempt delivered an event
 	attempt      AttemptID
 	upstream     string
 }
 
 func newCluster(daemons, replicas int, withoutSlots bool) *cluster {
-	cl := &cluster{now: epoch, running: map[string][]*clusterCall{}, waiting: map[string][]*clusterCall{}}
+	cl := &cluster{now: epoch, running: map[string][]*clusterCall{}, waiting: map[string][]*clusterCall{}, downUntil: map[string]time.Time{}}
 	for i := range replicas {
 		cl.targets = append(cl.targets, NewTarget(fmt.Sprintf("h%d", i), fmt.Sprintf("10.0.0.%d:1", i), true, replicaSlotCount))
 	}
@@ -89,7 +96,10 @@
 	if v.self < v.withoutReplicas {
 		return nil
 	}
-	return v.targets
+	if v.downTime == 0 {
+		return v.targets
+	}
+	return slices.DeleteFunc(slices.Clone(v.targets), func(t Target) bool { return v.isDown(t.name) })
 }
 
 // Processes returns nil, since the cluster has no plain service.
@@ -123,6 +133,8 @@
 			cl.deliver(effect.Owner(), NewUsageReported(name, effect.Usage()))
 		case Send:
 			cl.send(cl.calls[effect.ID()], effect)
+		case Cancel:
+			cl.cancel(effect.Attempt(), self)
 		case Refuse:
 			c := cl.calls[effect.ID()]
 			c.isRefused, c.retryAfter, c.reason = true, effect.RetryAfter(), effect.Reason()
@@ -166,6 +178,15 @@
 
 func (cl *cluster) send(c *clusterCall, send Send) {
 	c.attempt, c.upstream = send.Attempt(), send.Upstream()
+	c.sends++
+	if slices.Contains(c.parts, poisonPart) {
+		cl.poisonSends = append(cl.poisonSends, cl.now)
+	}
+	if cl.isDown(c.upstream) {
+		a := c.attempt
+		cl.after(messageDelay, func() { cl.feed(c.daemon, NewFailed(a, NotSent)) })
+		return
+	}
 	cl.waiting[c.upstream] = append(cl.waiting[c.upstream], c)
 	cl.admit(c.upstream)
 }
@@ -194,6 +215,12 @@
 	cl.crashes++
 	running := cl.running[name]
 	cl.running[name] = nil
+	if cl.downTime > 0 {
+		running = append(running, cl.waiting[name]...)
+		cl.waiting[name] = nil
+		cl.crashedAt = append(cl.crashedAt, cl.now)
+		cl.downUntil[name] = cl.now.Add(cl.downTime)
+	}
 	for _, c := range running {
 		a := c.attempt
 		cl.after(messageDelay, func() { cl.feed(c.daemon, NewFailed(a, Interrupted)) })
@@ -209,7 +236,14 @@
 	if !cl.isRunning(c, a) {
 		return
 	}
-	c.firstEvent = cl.now.Sub(c.arrived)
+	if slices.Contains(c.parts, poisonPart) {
+		cl.crash(c.upstream)
+		return
+	}
+	if c.firstEvent == 0 {
+		c.begunAtFirst = c.sends == 1
+		c.firstEvent = cl.now.Sub(c.arrived)
+	}
 	load := NewLoad(len(cl.running[c.upstream]), len(cl.waiting[c.upstream]), replicaSlotCount)
 	cl.feed(c.daemon, NewStarted(c.attempt, load))
 	cl.feed(c.daemon, NewFirstEventReceived(c.attempt))
