dispatch, gateway: Refuse requests with a part of the prompt that crashes upstreams

What callers saw: for minutes, one upstream after the other ended, and requests of that route were late or refused (BUDGET). Cause: only copies of a whole request were recognised, by a hash of method, target, key and body; requests that share a part differ in it, so each was new and cost two upstreams. Class: the identity by which a culprit is counted was chosen finer than the cause.

For each part that other requests may share, one daemon counts the upstreams that crash while a request with it has not begun or just begins. An answer anywhere clears a part. All shard owners share the refusal as a fact, so that daemons that start again learn it.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -61,6 +61,11 @@
 		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
 	case gateway.UpstreamLeaving:
 		d.log.Info("upstream", "leaving", "upstream", effect.ID(), "source", effect.Source())
+	case gateway.PartsSuspected:
+		d.log.Info("dispatch", "parts suspected", "parts", effect.Parts())
+	case gateway.PartMarked:
+		d.recorder.PartMarked(effect.TTL() > 0)
+		d.log.Info("dispatch", "part marked", "part", effect.Part(), "refusedFor", effect.TTL())
 	case gateway.ShardOwnersChanged:
 		d.log.Info("dispatch", "shard owners", "count", len(effect.Owners()), "owners", effect.Owners())
 	case gateway.PeerEffect:
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -60,6 +60,11 @@
 		nil,
 		"lines", "Lines of the log that were dropped since nobody read them.",
 	}
+	MarkedParts = Metric{
+		"azurepond_prompt_parts_marked_total",
+		[]string{"verdict"},
+		"parts", "Parts of prompts that this daemon told all daemons to refuse, since they crash upstreams (refused), or to serve again (cleared).",
+	}
 	SilentStoreWatches = Metric{
 		"azurepond_store_silent_watches_total",
 		nil,
@@ -125,6 +130,15 @@
 // ProbeEnded counts a probe of an engine by its result.
 func (r *Recorder) ProbeEnded(result string) { r.increment(Probes.RegistryName(result)) }
 
+// PartMarked counts a verdict on a part of prompts that crashes upstreams.
+func (r *Recorder) PartMarked(refused bool) {
+	verdict := "cleared"
+	if refused {
+		verdict = "refused"
+	}
+	r.increment(MarkedParts.RegistryName(verdict))
+}
+
 // StoreWatchSilent counts a watch that the store did not answer in time and that was replaced over a new connection.
 func (r *Recorder) StoreWatchSilent() { r.increment(SilentStoreWatches.RegistryName()) }
 
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -41,7 +41,7 @@
 		s.refuse(now, c, DaemonStopping, stoppingRetryAfter)
 		return
 	}
-	if s.isPoison(now, c, crashesToRefuse) {
+	if s.isPoison(now, c, crashesToRefuse) || s.hasRefusedPart(now, c) {
 		s.refuse(now, c, Poison, 0)
 		return
 	}
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -115,6 +115,7 @@
 	sentAt       time.Time
 	stallTimeout time.Duration
 	isStarted    bool
-	isSuspected  bool // its upstream was reported as suspect, since the stream stalled
+	firstEventAt time.Time // zero before the first event
+	isSuspected  bool      // its upstream was reported as suspect, since the stream stalled
 	isCancelled  bool
 }
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -142,6 +142,18 @@
 		case ReportCrash:
 			cl.deliver(strconv.Itoa(int(effect.ContentHash()%uint64(len(cl.daemons)))),
 				NewCrashReported(effect.ContentHash(), effect.Upstream()))
+		case ReportPartCrash:
+			cl.deliver(cl.ownerOfPart(effect.Part()), NewPartCrashReported(effect.Part(), effect.Upstream()))
+		case ReportPartAnswered:
+			cl.deliver(cl.ownerOfPart(effect.Part()), NewPartAnswered(effect.Part()))
+		case AskParts:
+			for other := range cl.daemons {
+				cl.deliver(strconv.Itoa(other), NewPartsAsked(effect.Parts()...))
+			}
+		case MarkPart:
+			for other := range cl.daemons {
+				cl.deliver(strconv.Itoa(other), NewPartMarked(effect.Part(), effect.TTL()))
+			}
 		case MarkPoison:
 			for other := range cl.daemons {
 				cl.deliver(strconv.Itoa(other), NewPoisonMarked(effect.ContentHash(), effect.Crashes(), effect.TTL()))
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -45,10 +45,11 @@
 }
 
 // reportCrash reports a crash of an upstream that ran a request to the daemon that counts them.
-func (s *State) reportCrash(c *call, upstream string) {
-	if c.contentHash != 0 {
-		s.emit(ReportCrash{c.contentHash, upstream})
+func (s *State) reportCrash(now time.Time, a *attempt, upstream string) {
+	if hash := a.call.contentHash; hash != 0 {
+		s.emit(ReportCrash{hash, upstream})
 	}
+	s.reportPartCrashes(now, a, upstream)
 }
 
 // handleCrashReported counts a crash, and marks the request as poison after enough crashes.
@@ -95,6 +96,7 @@
 func (s *State) recordSuccess(now time.Time, c *call) {
 	s.recentSuccesses.add(now, c.contentHash)
 	delete(s.poisonMarks, c.contentHash)
+	s.recordAnsweredParts(now, c)
 }
 
 // forgetCrashes removes expired crash records and poison marks.
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -7,7 +7,8 @@
 )
 
 // Effect is an action for the driver: Send, Cancel, Refuse, Fail, ForwardFailure, Drop, RequestSlot, ReportUsage,
-// ReplySlot, ReportCrash, MarkPoison, Suspect or Note.
+// ReplySlot, ReportCrash, MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts,
+// MarkPart, Suspect or Note.
 type Effect interface{ isEffect() }
 
 // Send sends a request to an upstream.
@@ -172,6 +173,39 @@
 // TTL returns how long the mark is valid.
 func (m MarkPoison) TTL() time.Duration { return m.ttl }
 
+// ReportPartCrash reports a crash of an upstream that ran a request with a part to the daemon that counts the crashes of the part.
+type ReportPartCrash struct{ part, upstream string }
+
+// Part returns the name of the part.
+func (r ReportPartCrash) Part() string { return r.part }
+
+// Upstream returns the upstream that crashed.
+func (r ReportPartCrash) Upstream() string { return r.upstream }
+
+// ReportPartAnswered reports a recent answer to a request with a part to the daemon that counts the crashes of the part.
+type ReportPartAnswered struct{ part string }
+
+// Part returns the name of the part.
+func (r ReportPartAnswered) Part() string { return r.part }
+
+// AskParts asks all daemons which parts they have seen answered lately.
+type AskParts struct{ parts []string }
+
+// Parts returns the names of the parts.
+func (a AskParts) Parts() []string { return a.parts }
+
+// MarkPart tells all daemons to refuse the requests with a part, or no longer to do so.
+type MarkPart struct {
+	part string
+	ttl  time.Duration
+}
+
+// Part returns the name of the part.
+func (m MarkPart) Part() string { return m.part }
+
+// TTL returns how long requests with the part are refused, 0 to end that.
+func (m MarkPart) TTL() time.Duration { return m.ttl }
+
 // Suspect reports that an upstream may be dead.
 type Suspect struct {
 	upstream string
@@ -297,6 +331,14 @@
 
 func (MarkPoison) isEffect() {}
 
+func (ReportPartCrash) isEffect() {}
+
+func (ReportPartAnswered) isEffect() {}
+
+func (AskParts) isEffect() {}
+
+func (MarkPart) isEffect() {}
+
 func (Suspect) isEffect() {}
 
 func (PauseProbes) isEffect() {}
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -7,7 +7,8 @@
 )
 
 // Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed,
-// CallerLeft, SlotReply, SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, ReplicaBroken,
+// CallerLeft, SlotReply, SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, PartCrashReported, PartAnswered,
+// PartsAsked, PartMarked, ReplicaBroken,
 // BudgetPeersChanged, RetryLimitsChanged, Stopping, Delayed or Ticked.
 type Event interface{ isEvent() }
 
@@ -214,6 +215,41 @@
 	return PoisonMarked{contentHash, crashes, ttl}
 }
 
+// PartCrashReported reports that an upstream crashed while it ran a request with a part.
+type PartCrashReported struct{ part, upstream string }
+
+// NewPartCrashReported returns the event of a crash of upstream while it ran a request with part.
+func NewPartCrashReported(part, upstream string) PartCrashReported {
+	return PartCrashReported{part, upstream}
+}
+
+// PartAnswered reports that a request with a part was answered lately.
+type PartAnswered struct{ part string }
+
+// NewPartAnswered returns the event that a request with part was answered lately.
+func NewPartAnswered(part string) PartAnswered { return PartAnswered{part} }
+
+// PartsAsked asks which parts this daemon has seen answered lately.
+type PartsAsked struct{ parts []string }
+
+// NewPartsAsked returns the event of a question about parts.
+func NewPartsAsked(parts ...string) PartsAsked { return PartsAsked{parts} }
+
+// PartMarked reports that the requests with a part are refused, or no longer are.
+type PartMarked struct {
+	part string
+	ttl  time.Duration
+}
+
+// Part returns the name of the part.
+func (p PartMarked) Part() string { return p.part }
+
+// TTL returns how long requests with the part are refused; they no longer are if it is not positive.
+func (p PartMarked) TTL() time.Duration { return p.ttl }
+
+// NewPartMarked returns the event that requests with part are refused for ttl, or no longer if ttl is not positive.
+func NewPartMarked(part string, ttl time.Duration) PartMarked { return PartMarked{part, ttl} }
+
 // PeersChanged reports the live daemons.
 type PeersChanged struct{ live []string }
 
@@ -302,6 +338,14 @@
 
 func (PoisonMarked) isEvent() {}
 
+func (PartCrashReported) isEvent() {}
+
+func (PartAnswered) isEvent() {}
+
+func (PartsAsked) isEvent() {}
+
+func (PartMarked) isEvent() {}
+
 func (CallerLeft) isEvent() {}
 
 func (ReplicaBroken) isEvent() {}
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -27,6 +27,7 @@
 	if a == nil {
 		return
 	}
+	a.firstEventAt = now
 	s.clearPendingPrefill(a)
 	s.countAnswer(now, a.call)
 	s.measureSlowdown(now, a)
@@ -109,7 +110,7 @@
 		s.emit(Suspect{a.target(), "no connection"})
 	case Interrupted:
 		s.emit(Suspect{a.target(), "connection reset"})
-		s.reportCrash(a.call, a.target())
+		s.reportCrash(now, a, a.target())
 	case Misdirected:
 		a.upstream.avoidUntil = now.Add(deadBackoff)
 		s.emit(Suspect{a.target(), "another upstream has the address"})
@@ -121,7 +122,7 @@
 // retry sends a call again if its route, its poison mark and the retry budget allow that, and ends it otherwise.
 func (s *State) retry(now time.Time, up Upstreams, c *call) {
 	switch {
-	case s.isPoison(now, c, crashesToStopRetry):
+	case s.isPoison(now, c, crashesToStopRetry), s.hasRefusedPart(now, c):
 		s.giveUp(now, c, Poison, 0)
 	case c.hasPartialAnswer && c.route.Kind() != route.Stream: // only the events of a stream can be continued
 		s.giveUp(now, c, AttemptsExhausted, 0)
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -30,6 +30,7 @@
 	crashes               map[uint64]*crashRecord // by content hash, for requests whose crashes this daemon counts
 	poisonMarks           map[uint64]poisonMark   // by content hash
 	recentSuccesses       successes
+	parts                 partCrashes
 	pendingSlots          map[uint64]*pendingSlot
 	lastSlotRequest       uint64               // id of the last slot request
 	unresponsive          map[string]time.Time // end of the backoff of each daemon that did not reply
@@ -105,6 +106,14 @@
 		s.handleCrashReported(now, e)
 	case PoisonMarked:
 		s.handlePoisonMarked(now, e)
+	case PartCrashReported:
+		s.handlePartCrashReported(now, e)
+	case PartAnswered:
+		s.handlePartAnswered(now, e)
+	case PartsAsked:
+		s.handlePartsAsked(e)
+	case PartMarked:
+		s.handlePartMarked(now, e)
 	case UsageReported:
 		s.handleUsageReported(now, up, e)
 	case SlotRequested:
@@ -161,6 +170,7 @@
 			s.expire(now, c)
 		}
 	}
+	s.judgeParts(now)
 	s.checkPendingSlots(now, up)
 	s.serveQueue(now, up)
 	s.reportUsage(now, up)
@@ -170,6 +180,7 @@
 		s.forgetUpstreams(now)
 		s.forgetReplicas(up)
 		s.forgetCrashes(now)
+		s.forgetParts(now)
 	}
 }
 
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -63,6 +63,8 @@
 		s.receiveDemand(now, message)
 	case slotRequestTopic, slotReplyTopic, usageTopic, crashTopic:
 		s.receiveSlotMessage(now, message)
+	case partCrashTopic, partAnsweredTopic, partsAskedTopic, partMarkTopic:
+		s.receivePartMessage(now, message.Topic(), message.From(), message.Data())
 	}
 }
 
@@ -79,6 +81,8 @@
 		s.receiveDeath(now, fact)
 	case crashTopic:
 		s.receivePoison(now, fact)
+	case partMarkTopic:
+		s.receivePartFact(now, fact)
 	case leavingTopic:
 		s.receiveLeaving(now, fact)
 	}
@@ -134,7 +138,7 @@
 }
 
 func (s *State) handleDispatchEffect(now time.Time, effect dispatch.Effect) {
-	if s.sendSlotMessage(now, effect) {
+	if s.sendSlotMessage(now, effect) || s.sendPartMessage(now, effect) {
 		return
 	}
 	switch effect := effect.(type) {
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -96,6 +96,24 @@
 // Silence returns the time since the last answer of the watch.
 func (r ResetStore) Silence() time.Duration { return r.silence }
 
+// PartsSuspected reports that this daemon asks its peers about parts of prompts that may crash upstreams.
+type PartsSuspected struct{ parts []string }
+
+// Parts returns the names of the parts.
+func (p PartsSuspected) Parts() []string { return p.parts }
+
+// PartMarked reports that this daemon tells its peers to refuse the requests with a part, or no longer to do so.
+type PartMarked struct {
+	part string
+	ttl  time.Duration
+}
+
+// Part returns the name of the part.
+func (p PartMarked) Part() string { return p.part }
+
+// TTL returns how long requests with the part are refused, 0 if they no longer are.
+func (p PartMarked) TTL() time.Duration { return p.ttl }
+
 // WatchUpstreams starts, restarts or stops watching the platform's list of upstreams.
 type WatchUpstreams struct{ interval time.Duration }
 
@@ -214,6 +232,10 @@
 
 func (ShardOwnersChanged) isEffect() {}
 
+func (PartsSuspected) isEffect() {}
+
+func (PartMarked) isEffect() {}
+
 func (ResetStore) isEffect() {}
 
 func (WatchUpstreams) isEffect() {}
--- a/pkg/gateway/listmessage.go
+++ b/pkg/gateway/listmessage.go
@@ -86,6 +86,13 @@
 	return max(n, 0)
 }
 
+// exactLength reads the length of an array, which must be n.
+func (f *decodedFields) exactLength(n int) {
+	if got := f.length(n); got != n {
+		f.setError(trace.BadParameter("array of %d elements, want %d", got, n))
+	}
+}
+
 func (f *decodedFields) flag() bool {
 	if f.err != nil {
 		return false
--- a/pkg/gateway/slots_test.go
+++ b/pkg/gateway/slots_test.go
@@ -41,6 +41,32 @@
 	}
 }
 
+func TestPartMessages(t *testing.T) {
+	messages := []struct {
+		topic  string
+		values []any
+		event  dispatch.Event
+	}{
+		{partCrashTopic, []any{"5c1e07a2", "i-1"}, dispatch.NewPartCrashReported("5c1e07a2", "i-1")},
+		{partAnsweredTopic, []any{"5c1e07a2"}, dispatch.NewPartAnswered("5c1e07a2")},
+		{partsAskedTopic, []any{"5c1e07a2", "91bd3f06"}, dispatch.NewPartsAsked("5c1e07a2", "91bd3f06")},
+		{partMarkTopic, []any{"5c1e07a2", int64(60000)}, dispatch.NewPartMarked("5c1e07a2", time.Minute)},
+	}
+	for _, message := range messages {
+		Convey("A message of the topic "+message.topic+" is decoded as it was encoded, and refused if it is truncated", t, func() {
+			data, err := encodeValues(message.values)
+			So(err, ShouldBeNil)
+			event, err := decodePartMessage(message.topic, data)
+			So(err, ShouldBeNil)
+			So(event, ShouldResemble, message.event)
+			for n := range data {
+				_, err := decodePartMessage(message.topic, data[:n])
+				So(err, ShouldNotBeNil)
+			}
+		})
+	}
+}
+
 func TestShardOwner(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "e", "f", "g"}
 	owner := func(self string, owners []string, number uint64) string {
