--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -115,7 +115,7 @@
 	sentAt       time.Time
 	stallTimeout time.Duration
 	isStarted    bool
-	firstEventAt time.Time // zero before the first event
-	isSuspected  bool      // its upstream was reported as suspect, since the stream stalled
+	hasEvent     bool // the first event was received
+	isSuspected  bool // its upstream was reported as suspect, since the stream stalled
 	isCancelled  bool
 }
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -45,11 +45,11 @@
 }
 
 // reportCrash reports a crash of an upstream that ran a request to the daemon that counts them.
-func (s *State) reportCrash(now time.Time, a *attempt, upstream string) {
-	if hash := a.call.contentHash; hash != 0 {
-		s.emit(ReportCrash{hash, upstream})
+func (s *State) reportCrash(c *call, upstream string) {
+	if c.contentHash != 0 {
+		s.emit(ReportCrash{c.contentHash, upstream})
 	}
-	s.reportPartCrashes(now, a, upstream)
+	s.reportPartCrashes(c, upstream)
 }
 
 // handleCrashReported counts a crash, and marks the request as poison after enough crashes.
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -27,7 +27,7 @@
 	if a == nil {
 		return
 	}
-	a.firstEventAt = now
+	a.hasEvent = true
 	s.clearPendingPrefill(a)
 	s.countAnswer(now, a.call)
 	s.measureSlowdown(now, a)
@@ -110,7 +110,7 @@
 		s.emit(Suspect{a.target(), "no connection"})
 	case Interrupted:
 		s.emit(Suspect{a.target(), "connection reset"})
-		s.reportCrash(now, a, a.target())
+		s.reportCrash(a.call, a.target())
 	case Misdirected:
 		a.upstream.avoidUntil = now.Add(deadBackoff)
 		s.emit(Suspect{a.target(), "another upstream has the address"})
--- a/pkg/dispatch/parts.go
+++ b/pkg/dispatch/parts.go
@@ -10,18 +10,15 @@
 
 // Detection of parts of prompts that crash upstreams: each request with such a part crashes the upstream that begins to answer it, and no
 // two of these requests are alike. For each part, one daemon counts the crashes. After two it asks all daemons whether a request with the
-// part was answered lately, which clears the part; after three, all daemons refuse requests with it. Requests that ran beside
-// one that crashes their upstream are interrupted too, but most of them had begun before, or another request with their parts
-// was answered.
+// part was answered lately, which clears the part; after partCrashesToRefuse, all daemons refuse requests with it. Requests that
+// ran beside one that crashes their upstream are interrupted too, but their parts are answered in other requests.
 
 // The limits of counting the crashes of a part.
 const (
 	partCrashesToAsk    = 2
-	partCrashesToRefuse = 3
-	partCrashSpacing    = 50 * time.Millisecond  // upstreams that are lost together count as one crash
+	partCrashesToRefuse = 4 // by chance, an innocent part that nobody has answered is part of three
 	partSameCrash       = 2 * time.Second        // reports of several daemons on the same upstream; a restart takes longer
 	partAnswerTime      = 300 * time.Millisecond // from the question until the part is refused; messages take a tenth of it
-	partBeginTime       = 250 * time.Millisecond // after its first event, a request has begun; a crash is noticed within it
 	partClearTime       = 30 * time.Second       // for which a part that was answered is not counted
 	maxPartRecords      = 4096
 	maxPartsAsked       = 32 // in one message
@@ -30,8 +27,8 @@
 // partRecord is the crashes of a part, as counted by one daemon.
 type partRecord struct {
 	crashes   map[string]time.Time // the last one by upstream
-	count     int                  // at different times
-	lastCount time.Time
+	count     int
+	lastCrash time.Time
 	askedAt   time.Time // zero before the question
 	refused   bool
 }
@@ -46,13 +43,9 @@
 
 func partHash(part string) uint64 { return xxhash.Sum64String(part) }
 
-// reportPartCrashes reports the crash of an upstream for each part of a call that it had just begun to answer, or not yet, unless the part
-// was answered lately.
-func (s *State) reportPartCrashes(now time.Time, a *attempt, upstream string) {
-	if !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) >= partBeginTime {
-		return
-	}
-	for _, part := range a.call.parts {
+// reportPartCrashes reports the crash of an upstream for each part of a call that was not answered lately.
+func (s *State) reportPartCrashes(c *call, upstream string) {
+	for _, part := range c.parts {
 		if !s.parts.answered.has(partHash(part)) {
 			s.emit(ReportPartCrash{part, upstream})
 		}
@@ -76,7 +69,7 @@
 		return
 	}
 	record := s.parts.records[e.part]
-	if record == nil || now.Sub(record.lastCount) > crashWindow && !record.refused {
+	if record == nil || now.Sub(record.lastCrash) > crashWindow && !record.refused {
 		if record == nil && len(s.parts.records) >= maxPartRecords {
 			return
 		}
@@ -89,11 +82,8 @@
 	if last, isKnown := record.crashes[e.upstream]; isKnown && now.Sub(last) < partSameCrash {
 		return
 	}
-	record.crashes[e.upstream] = now
-	if now.Sub(record.lastCount) >= partCrashSpacing {
-		record.count++
-		record.lastCount = now
-	}
+	record.crashes[e.upstream], record.lastCrash = now, now
+	record.count++
 }
 
 // judgeParts asks about the parts with some crashes, and refuses those with enough that no daemon has answered.
@@ -165,7 +155,7 @@
 		case c.finalEffect != nil || !slices.Contains(c.parts, part):
 		case c.attempt == nil:
 			s.giveUp(now, c, Poison, 0)
-		case c.attempt.firstEventAt.IsZero():
+		case !c.attempt.hasEvent:
 			s.halt(c, Fail{c.id, Poison, false})
 		}
 	}
@@ -182,7 +172,7 @@
 // forgetParts removes what has expired.
 func (s *State) forgetParts(now time.Time) {
 	maps.DeleteFunc(s.parts.records, func(_ string, record *partRecord) bool {
-		return now.Sub(record.lastCount) > poisonTTL || !record.refused && now.Sub(record.lastCount) > crashWindow
+		return now.Sub(record.lastCrash) > poisonTTL || !record.refused && now.Sub(record.lastCrash) > crashWindow
 	})
 	maps.DeleteFunc(s.parts.cleared, func(_ string, at time.Time) bool { return now.Sub(at) > partClearTime })
 	maps.DeleteFunc(s.parts.refused, func(_ string, expiry time.Time) bool { return now.After(expiry) })
--- a/pkg/dispatch/parts_test.go
+++ b/pkg/dispatch/parts_test.go
@@ -32,6 +32,7 @@
 	rate              float64 // of sound requests, per second
 	poisonRate        float64 // of requests with the part that crashes replicas, per second
 	resetRate         float64 // of interruptions of all requests at a replica that does not crash, per second
+	lossRate          float64 // of losses of a quarter of the replicas at once, per second
 }
 
 // partsLoads are the loads of a small, a medium and a large fleet.
@@ -56,6 +57,12 @@
 	partsEnd     = 20 * time.Second
 )
 
+// withoutPoison returns the load without the part that crashes replicas, but with replicas that are reset and lost for other reasons.
+func (l partsLoad) withoutPoison() partsLoad {
+	l.poisonRate, l.resetRate, l.lossRate = 0, 3, 0.4
+	return l
+}
+
 // runParts plays a load with a seed.
 func runParts(load partsLoad, seed uint64) partsResult {
 	cl := newCluster(load.daemons, load.replicas, false)
@@ -80,6 +87,13 @@
 	every(load.poisonRate, partsTrouble, func() {
 		cl.arriveWithParts(random.IntN(load.daemons), "system", poisonPart)
 	})
+	every(load.lossRate, partsTrouble, func() {
+		for i, t := range cl.targets {
+			if i%4 == random.IntN(4) {
+				cl.crash(t.name)
+			}
+		}
+	})
 	every(load.resetRate, partsTrouble, func() { cl.reset(cl.targets[random.IntN(len(cl.targets))].name) })
 	cl.run(partsEnd + time.Second)
 	return cl.partsResult()
@@ -172,3 +186,16 @@
 		})
 	}
 }
+
+func TestPartRefusedWithoutCause(t *testing.T) {
+	for _, load := range partsLoads {
+		Convey(fmt.Sprintf("No part is refused at %d daemons whose replicas are reset and lost for other reasons", load.daemons), t, func() {
+			for seed := range *partsSeeds {
+				result := runParts(load.withoutPoison(), seed)
+				Printf("\n%d daemons, seed %d: %+v", load.daemons, seed, result)
+				So(result.crashes, ShouldBeGreaterThan, 0)
+				So(result.wrongRefused, ShouldEqual, 0)
+			}
+		})
+	}
+}
