transport: Limit the heads and the skipped bodies of answers

Upstreams in trouble may send bytes without end until the caller closes. net/http.ReadResponse has no limit of its own, so an endless status line or header took memory until the process was killed, and the endless body of another request's answer was read until the deadline.

--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,6 +24,9 @@
 // maxInlineBodyBytes limits the bodies that are written before the response is read. They fit into any socket buffer.
 const maxInlineBodyBytes = 16 << 10
 
+// maxSkippedBodyBytes limits the body of an answer that belongs to another request. After a longer one, the connection is useless.
+const maxSkippedBodyBytes = 1 << 20
+
 // maxResponsesPerRequest limits the responses that are read for one request. Informational responses and responses to
 // earlier requests are skipped.
 const maxResponsesPerRequest = 3
@@ -106,6 +110,8 @@
 
 // awaitResponse reads responses until accept accepts one.
 func (e *Exchange) awaitResponse(method string, accept func(http.Header) bool) error {
+	e.conn.limitHead()
+	defer e.conn.unlimitHead()
 	for range maxResponsesPerRequest {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -118,13 +124,38 @@
 			e.Response = response
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := e.skipBody(response.Body); err != nil {
 			return err
 		}
 	}
 	return ErrResponseMismatch
 }
 
+// skipBody reads the body of an answer that belongs to another request.
+func (e *Exchange) skipBody(body io.Reader) error {
+	e.conn.unlimitHead()
+	defer e.conn.limitHead()
+	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+	if err == nil && skipped > maxSkippedBodyBytes {
+		return fmt.Errorf("%w: a body exceeds %d bytes", ErrResponseMismatch, maxSkippedBodyBytes)
+	}
+	return err
+}
+
+// Drain ends an exchange whose answer is not needed. The connection is kept if the body ends within limit bytes and wait.
+func (e *Exchange) Drain(limit int64, wait time.Duration) {
+	if err := e.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		e.Abort()
+		return
+	}
+	read, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, limit+1))
+	if err != nil || read > limit || e.conn.SetReadDeadline(time.Time{}) != nil {
+		e.Abort()
+		return
+	}
+	e.Close()
+}
+
 // Close ends an exchange whose response was read completely, and keeps the connection if it is reusable.
 func (e *Exchange) Close() {
 	if !e.stopCancel() || !e.reusable() {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	defaultIdleTimeout   = 4 * time.Second // a second below the shortest common idle timeout of servers
 	idleTimeoutMargin    = time.Second     // a server may close slightly early
 	maxIdlePerUpstream   = 32              // about the number of slots of an upstream
+	maxHeadBytes         = 64 << 10        // of all answers that are read for one request
 )
 
 // soTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
@@ -72,10 +74,33 @@
 // Conn is one connection that runs one exchange at a time.
 type Conn struct {
 	net.Conn
-	reader       *bufio.Reader
-	pool         *Pool
-	address      string
-	idleDeadline time.Time // after it, the server may close an idle connection
+	reader        *bufio.Reader
+	pool          *Pool
+	address       string
+	idleDeadline  time.Time // after it, the server may close an idle connection
+	headBytes     int       // that may still be read of a head, if isReadingHead
+	isReadingHead bool
+}
+
+// errHeadTooLarge says that the head of an answer exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("head of the answer exceeds the size limit")
+
+// limitHead limits what is read until unlimitHead is called.
+func (c *Conn) limitHead() { c.headBytes, c.isReadingHead = maxHeadBytes, true }
+
+func (c *Conn) unlimitHead() { c.isReadingHead = false }
+
+// Read reads from the connection, within the limit of a head.
+func (c *Conn) Read(b []byte) (int, error) {
+	if !c.isReadingHead {
+		return c.Conn.Read(b)
+	}
+	if c.headBytes <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headBytes)])
+	c.headBytes -= n
+	return n, err
 }
 
 // Opened returns the number of connections opened so far.
@@ -98,7 +123,9 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	return &Conn{Conn: opened, reader: bufio.NewReader(opened), pool: p, address: address}, nil
+	c := &Conn{Conn: opened, pool: p, address: address}
+	c.reader = bufio.NewReader(c)
+	return c, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to address, or returns nil.
