gateway: Bound what endless answers of upstreams take

The body of a refusal is read for 50 ms and 64 KiB at most, since the retry waits for it; before, it was read up to 16 MB or until the deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
@@ -15,8 +16,12 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// maxAnswerBytes limits what is buffered of an answer before its head is forwarded.
-const maxAnswerBytes = 16 << 20
+// The limits of what is buffered of answers before their heads are forwarded.
+const (
+	maxAnswerBytes   = 16 << 20 // of one answer
+	maxBufferedBytes = 48 << 20 // of all answers together; a quarter of the memory of a small instance
+	answerChunkBytes = 32 << 10 // that are read at once
+)
 
 var errAnswerTooLarge = errors.New("error answer exceeds the size limit")
 
@@ -116,13 +121,15 @@
 	e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), failure))
 }
 
+// The limits of the body of an answer that is discarded. A larger or later one costs the connection.
+const (
+	maxRejectionBytes = 64 << 10
+	maxRejectionTime  = 50 * time.Millisecond // the retry waits for it
+)
+
 // reportRejection discards the body of an answer and reports why the attempt failed.
 func (e *exchange) reportRejection(send dispatch.Send, answer *transport.Exchange, class Classification) {
-	if _, isWhole, err := readUpTo(answer.Response.Body, maxAnswerBytes); err != nil || !isWhole {
-		answer.Abort()
-	} else {
-		answer.Close()
-	}
+	answer.Drain(maxRejectionBytes, maxRejectionTime)
 	e.daemon.enqueueDispatch(dispatch.NewFailed(send.Attempt(), class.Failure).WithFault(class.FaultyUpstream, class.Load))
 }
 
@@ -130,9 +137,10 @@
 func (e *exchange) bufferError(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
-	body, isWhole, err := readUpTo(answer.Response.Body, maxAnswerBytes)
+	body, isWhole, err := e.readAnswer(answer.Response.Body)
 	if err == nil && !isWhole {
-		err = fmt.Errorf("%w: content length %d, limit %d bytes", errAnswerTooLarge, answer.Response.ContentLength, maxAnswerBytes)
+		err = fmt.Errorf("%w: content length %d, limit %d bytes, %d of all answers",
+			errAnswerTooLarge, answer.Response.ContentLength, maxAnswerBytes, maxBufferedBytes)
 	}
 	if err != nil {
 		e.reportTruncated(ctx, send, answer, err)
@@ -143,12 +151,12 @@
 	return false
 }
 
-// forwardBuffered forwards an answer after it was read completely. An answer that exceeds maxAnswerBytes is forwarded as it
-// arrives.
+// forwardBuffered forwards an answer after it was read completely. An answer that exceeds the limits of what is buffered is forwarded
+// as it arrives.
 func (e *exchange) forwardBuffered(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
-	body, isWhole, err := readUpTo(answer.Response.Body, maxAnswerBytes)
+	body, isWhole, err := e.readAnswer(answer.Response.Body)
 	if err != nil {
 		e.reportTruncated(ctx, send, answer, err)
 		return false
@@ -179,10 +187,23 @@
 	return true
 }
 
-// readUpTo reads a body until its end or until limit bytes are exceeded, and reports whether it was read completely.
-func readUpTo(body io.Reader, limit int64) (data []byte, isWhole bool, err error) {
-	data, err = io.ReadAll(io.LimitReader(body, limit+1))
-	return data, int64(len(data)) <= limit, err
+// readAnswer reads a body until its end or until a limit is exceeded, and reports whether it was read completely. What it read counts
+// towards the limit of all answers until the exchange ends.
+func (e *exchange) readAnswer(body io.Reader) (data []byte, isWhole bool, err error) {
+	var read bytes.Buffer
+	for {
+		n, err := io.CopyN(&read, body, answerChunkBytes)
+		e.bufferedBytes += n
+		total := e.daemon.bufferedBytes.Add(n)
+		switch {
+		case errors.Is(err, io.EOF):
+			return read.Bytes(), read.Len() <= maxAnswerBytes, nil
+		case err != nil:
+			return read.Bytes(), false, err
+		case read.Len() > maxAnswerBytes || total > maxBufferedBytes:
+			return read.Bytes(), false, nil
+		}
+	}
 }
 
 // reportTruncated reports an attempt whose answer could not be read or forwarded completely.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -37,6 +37,8 @@
 	buffered    *bufferedAnswer // the answer that was read completely, nil for none
 	headSent    bool            // whether the head of an answer was sent to the caller
 	lastEventID string          // of the last event sent to the caller
+
+	bufferedBytes int64 // of the daemon's that this exchange takes
 }
 
 // callerServer returns the HTTP server for callers.
@@ -109,6 +111,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	delete(d.exchanges, e.id)
+	d.bufferedBytes.Add(-e.bufferedBytes)
 }
 
 // serve executes the effects of the request until the request has ended.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -43,6 +43,7 @@
 	addresses         atomic.Pointer[[]gateway.Address]
 	config            atomic.Pointer[route.Config]
 	lastRequestID     atomic.Uint64
+	bufferedBytes     atomic.Int64 // of answers
 	ctx               context.Context
 	cancel            context.CancelFunc
 	acceptStopped     chan struct{}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,14 +46,18 @@
 	t.last = now
 }
 
-// maxEventBytes limits one event of a stream.
-const maxEventBytes = 1 << 20
+// The limits of the events of a stream.
+const (
+	maxEventBytes      = 1 << 20
+	maxEventsWithoutID = 1024 // in a row, if they have no data or earlier ones had ids
+)
 
 var (
-	errTruncatedEvent = errors.New("stream ended within an event")
-	errEventOrder     = errors.New("event id does not follow the previous one")
-	errEmptyStream    = errors.New("stream ended without an event")
-	errEventTooLong   = errors.New("event exceeds the size limit")
+	errTruncatedEvent  = errors.New("stream ended within an event")
+	errEventOrder      = errors.New("event id does not follow the previous one")
+	errEmptyStream     = errors.New("stream ended without an event")
+	errEventTooLong    = errors.New("event exceeds the size limit")
+	errEventsWithoutID = errors.New("too many events without an id")
 )
 
 // forwardStream forwards the events of an answer as they arrive, and reports whether the caller received all of them.
@@ -98,7 +102,7 @@
 func (e *exchange) relay(answer *transport.Exchange, onEvent func(first bool)) error {
 	reader := bufio.NewReader(answer.Response.Body)
 	control := http.NewResponseController(e.writer)
-	first := true
+	first, withoutID := true, 0
 	for {
 		event, id, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
@@ -121,7 +125,11 @@
 			return err
 		}
 		if id != "" {
-			e.lastEventID = id
+			e.lastEventID, withoutID = id, 0
+		} else if e.lastEventID != "" || !bytes.Contains(event, []byte("data:")) {
+			if withoutID++; withoutID > maxEventsWithoutID {
+				return errEventsWithoutID
+			}
 		}
 		onEvent(first)
 		first = false
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -39,6 +39,18 @@
 		So(got, ShouldEqual, "id: 3\ndata: a\n\n")
 	})
 
+	Convey("A stream without a length or chunks is complete if its connection ends between two events, and broken off if within one", t, func() {
+		stream := "id: 3\ndata: a\n\nid: 4\ndata: b\n\n"
+		got, err := relayBody(stream, false, "2")
+		So(err, ShouldBeNil)
+		So(got, ShouldEqual, stream)
+		for _, cut := range []string{"id: 5", "id: 5\n", "id: 5\ndata: c", "id: 5\ndata: c\n"} {
+			got, err := relayBody(stream+cut, false, "2")
+			So(err, ShouldEqual, errTruncatedEvent)
+			So(got, ShouldEqual, stream)
+		}
+	})
+
 	Convey("An event id that repeats or skips ends the stream with an error", t, func() {
 		for _, id := range []string{"2", "4"} {
 			_, err := relayBody("id: "+id+"\ndata: a\n\n", true, "2")
--- a/pkg/dispatch/parts.go
+++ b/pkg/dispatch/parts.go
@@ -16,7 +16,7 @@
 // The limits of counting the crashes of a part.
 const (
 	partCrashesToAsk    = 2
-	partCrashesToRefuse = 4 // by chance, an innocent part that nobody has answered is part of three
+	partCrashesToRefuse = 4                      // by chance, an innocent part that nobody has answered is part of three
 	partSameCrash       = 2 * time.Second        // reports of several daemons on the same upstream; a restart takes longer
 	partAnswerTime      = 300 * time.Millisecond // from the question until the part is refused; messages take a tenth of it
 	partClearTime       = 30 * time.Second       // for which a part that was answered is not counted
