link: Send keepalive probes on idle links less often in large fleets

The first probe of a link is now sent after 0.2 s for each link that the daemon has, 1 to 30 s: 40 a second at most. A link on which data is on its way is still closed within two seconds.

--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -83,11 +83,7 @@
 		_ = c.Close()
 		return
 	}
-	if tcp, isTCP := c.(*net.TCPConn); isTCP {
-		if err := transport.DetectDeadPath(tcp); err != nil {
-			klog.InfoS("link: Cannot set the timeouts of an inbound connection.", "from", c.RemoteAddr().String(), "err", err.Error())
-		}
-	}
+	h.detectDeadPath(c)
 	h.group.Go(func() error {
 		defer h.releaseInbound()
 		if err := h.handshakeAndServe(c, tls.Server); err != nil {
@@ -98,6 +94,32 @@
 	})
 }
 
+// The time after which an idle link sends a keepalive probe. It grows with the number of links, since the probes of hundreds would take
+// more of a daemon's network than its messages.
+const (
+	minKeepAliveIdle     = time.Second
+	maxKeepAliveIdle     = 30 * time.Second
+	keepAliveIdlePerLink = 200 * time.Millisecond
+)
+
+func keepAliveIdle(links int) time.Duration {
+	return min(max(time.Duration(links)*keepAliveIdlePerLink, minKeepAliveIdle), maxKeepAliveIdle)
+}
+
+// detectDeadPath sets the timeouts by which a link notices that its path is dead.
+func (h *Hub) detectDeadPath(c net.Conn) {
+	tcp, isTCP := c.(*net.TCPConn)
+	if !isTCP {
+		return
+	}
+	h.mutex.Lock()
+	idle := keepAliveIdle(len(h.conns))
+	h.mutex.Unlock()
+	if err := transport.DetectDeadPath(tcp, idle); err != nil {
+		klog.InfoS("link: Cannot set the timeouts of a connection.", "remote", c.RemoteAddr().String(), "err", err.Error())
+	}
+}
+
 func (h *Hub) admitInbound() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -163,6 +185,7 @@
 	delete(h.dialing, address)
 	h.mutex.Unlock()
 	if err == nil {
+		h.detectDeadPath(c)
 		err = h.handshakeAndServe(c, tls.Client, payload)
 	}
 	if err != nil {
--- a/internal/link/silent_test.go
+++ b/internal/link/silent_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -35,3 +36,14 @@
 		}
 	})
 }
+
+func TestKeepAlivesOfManyLinks(t *testing.T) {
+	Convey("The keepalive probes of all links of a daemon in a large fleet are a few dozen per second at most", t, func() {
+		perSecond := 0.0
+		for links := range 330 {
+			perSecond += 1 / keepAliveIdle(links).Seconds()
+		}
+		So(perSecond, ShouldBeLessThan, 40)
+		So(keepAliveIdle(7), ShouldBeLessThan, 2*time.Second)
+	})
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -27,23 +27,24 @@
 // soTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
 const soTCPUserTimeout = 0x12
 
-// keepAlive are the keepalive probes of connections that detect a dead path.
-var keepAlive = net.KeepAliveConfig{
-	Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
+// keepAlive returns the keepalive probes of a connection that detects a dead path, the first of them after idle.
+func keepAlive(idle time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: idle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount}
 }
 
 // Dialer returns a dialer whose connections detect a dead path within seconds.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: keepAlive,
+		KeepAliveConfig: keepAlive(tcpKeepAliveIdle),
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
 	}
 }
 
-// DetectDeadPath makes an accepted TCP connection detect a dead path within seconds, as those of Dialer do.
-func DetectDeadPath(c *net.TCPConn) error {
-	if err := c.SetKeepAliveConfig(keepAlive); err != nil {
+// DetectDeadPath makes a TCP connection detect a dead path: within two seconds if data is on its way, as connections of Dialer do,
+// and about a second after idle if not.
+func DetectDeadPath(c *net.TCPConn, idle time.Duration) error {
+	if err := c.SetKeepAliveConfig(keepAlive(idle)); err != nil {
 		return err
 	}
 	raw, err := c.SyscallConn()
