gateway: Keep the readers of the list after a restore of the store

A daemon that noticed a restore took itself for one that recovers from an outage, and such daemons are not chosen as readers. After a restore all daemons lack the same entries, so only an outage makes a reader step down now.

--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -24,7 +24,6 @@
 	s.reduceReplica(now, replica.NewStoreEra(era))
 	if before != 0 {
 		s.listing.restore(now)
-		s.shareStoreAccess(now)
 		s.reducePeer(now, peer.NewRereadRequested())
 		s.emit(StoreRestored{before, era})
 	}
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -33,7 +33,8 @@
 	storeRecoveredAt time.Time            // end of the last outage seen by this daemon
 	left             map[replica.ID]int64 // incarnations of the upstreams that announced in an answer that they shut down
 	removed          map[replica.ID]removal
-	isRestored       bool // the next complete list is of an older snapshot of the store
+	isRestored       bool      // the next complete list is of an older snapshot of the store
+	restoredAt       time.Time // when this daemon noticed the last restore of the store
 	heldBack         map[replica.ID]heldEntry
 }
 
@@ -90,11 +91,16 @@
 	return changed, l.expire(now)
 }
 
-// graceEnd returns the time until which expired entries may still be renewed.
-func (l *listing) graceEnd() time.Time { return l.storeRecoveredAt.Add(absentGraceAfterOutage) }
+// graceEnd returns the time until which entries may still be renewed that expired or were lost with a restore.
+func (l *listing) graceEnd() time.Time {
+	return later(l.storeRecoveredAt, l.restoredAt).Add(absentGraceAfterOutage)
+}
 
-// inGracePeriod reports whether expired entries may still be renewed.
-func (l *listing) inGracePeriod(now time.Time) bool { return now.Before(l.graceEnd()) }
+// isRecovering reports whether entries that expired during an outage at this daemon may still be renewed. After a restore of the
+// store, all daemons lack the same entries, so none is a better reader.
+func (l *listing) isRecovering(now time.Time) bool {
+	return now.Before(l.storeRecoveredAt.Add(absentGraceAfterOutage))
+}
 
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -154,7 +160,7 @@
 // restore prepares for the list of a restored store, which lacks what upstreams have written since the snapshot until they write it
 // again.
 func (l *listing) restore(now time.Time) {
-	l.isRestored, l.storeRecoveredAt = true, now
+	l.isRestored, l.restoredAt = true, now
 }
 
 // holdBack holds back an entry of an older snapshot whose upstream was removed since, and reports whether it did.
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -140,7 +140,7 @@
 	switch {
 	case s.members.storeUnreachable:
 		return accessNone
-	case s.listing.inGracePeriod(now):
+	case s.listing.isRecovering(now):
 		return accessRecovering
 	}
 	return accessFull
