--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -25,7 +25,7 @@
 
 	mutex     sync.Mutex
 	fault     networkFault
-	openConns map[net.Conn]bool
+	openConns map[net.Conn]bool // whether the connection is silent
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -52,6 +52,21 @@
 	}
 }
 
+// silenceOpen makes the open connections silent, without a reset. New ones work.
+func (p *proxy) silenceOpen() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.openConns {
+		p.openConns[c] = true
+	}
+}
+
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.openConns[c]
+}
+
 func reset(c net.Conn) {
 	if tcp, isTCP := c.(*net.TCPConn); isTCP {
 		_ = tcp.SetLinger(0) // makes Close reset the connection
@@ -81,7 +96,7 @@
 			continue
 		}
 		p.mutex.Lock()
-		p.openConns[c], p.openConns[server] = true, true
+		p.openConns[c], p.openConns[server] = false, false
 		p.mutex.Unlock()
 		go p.copy(server, c, false)
 		go p.copy(c, server, true)
@@ -104,7 +119,7 @@
 		switch fault := p.currentFault(); {
 		case fault == delayed:
 			<-time.After(200 * time.Millisecond)
-		case fault == blackholed, fault == responsesDropped && isResponse:
+		case p.isSilent(from), fault == blackholed, fault == responsesDropped && isResponse:
 			_, _ = io.Copy(io.Discard, from) // until the connection is closed
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -283,7 +283,7 @@
 	index := s.random.IntN(daemonCount)
 	p := s.daemons[index]
 	s.snapshots = append(s.snapshots, s.fleet.Store.Snapshot())
-	switch s.random.IntN(11) {
+	switch s.random.IntN(12) {
 	case 0:
 		p.stop()
 		return fmt.Sprintf("kill d%d", index), func() { s.start(p) }
@@ -318,6 +318,10 @@
 			s.addEngine()
 		}
 	case 9:
+		p.storeProxy.silenceOpen()
+		s.configure(s.version + 1)
+		return fmt.Sprintf("store of d%d: open connections silent", index), func() {}
+	case 10:
 		e := s.engines[s.random.IntN(len(s.engines))]
 		e.Throttle(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
 		return "throttle at " + e.ID(), func() { e.Throttle(0) }
