gateway, peer: Notice that the instance was suspended

At each tick it compares the steady clock with the boot clock, which does not stop, and treats a suspension like a freeze of the same length.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -172,17 +172,33 @@
 	ticker := time.NewTicker(gateway.TickInterval)
 	defer ticker.Stop()
 	due := time.Now().Add(gateway.TickInterval)
+	clock := suspensionClock{read: readClock}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case fired := <-ticker.C:
+			d.reportSuspension(&clock)
 			d.enqueue(gateway.NewTicked(due))
 			due = fired.Add(gateway.TickInterval)
 		}
 	}
 }
 
+// reportSuspension reports a suspension of the instance. Without readable clocks the daemon works on, and suspensions stay unnoticed.
+func (d *Daemon) reportSuspension(clock *suspensionClock) {
+	suspended, err := clock.suspended()
+	if err != nil {
+		d.log.Info("daemon", "cannot read the clocks, suspensions are not noticed", "err", err.Error())
+		*clock = suspensionClock{read: func(int32) (time.Duration, error) { return 0, nil }}
+		return
+	}
+	if suspended > 0 {
+		d.log.Info("daemon", "instance was suspended", "for", suspended)
+		d.enqueue(gateway.NewSuspended(suspended))
+	}
+}
+
 func (d *Daemon) sweepConnections(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -124,6 +124,12 @@
 // NewTicked returns the event of a tick that was due at due, on the clock of Reduce.
 func NewTicked(due time.Time) Ticked { return Ticked{due} }
 
+// Suspended reports that the instance was suspended while the clock of Reduce stood still.
+type Suspended struct{ duration time.Duration }
+
+// NewSuspended returns the event that the instance was suspended for duration, which the times of Reduce do not include.
+func NewSuspended(duration time.Duration) Suspended { return Suspended{duration} }
+
 // PeerEvent is an event for pkg/peer.
 type PeerEvent struct{ event peer.Event }
 
@@ -162,6 +168,8 @@
 
 func (Ticked) isEvent() {}
 
+func (Suspended) isEvent() {}
+
 func (PeerEvent) isEvent() {}
 
 func (ReplicaEvent) isEvent() {}
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/peer"
 )
 
 func TestLeaderBlamedByPausedDaemon(t *testing.T) {
@@ -31,3 +33,27 @@
 		}
 	})
 }
+
+func TestEvidenceOfSuspendedDaemon(t *testing.T) {
+	Convey("A daemon whose instance was suspended drops its evidence and its leader, as after a freeze of the same length", t, func() {
+		f := newFleet(smallFleet(), time.Minute)
+		f.run(8 * time.Second)
+		for i, d := range f.daemons {
+			So(d.members.leader, ShouldNotBeEmpty)
+			suspension := 2 * time.Second
+			if i%2 == 0 {
+				suspension = 4 * time.Second
+			}
+			reset := false
+			for _, effect := range d.Reduce(f.now, NewSuspended(suspension)) {
+				sent, isPeer := effect.(PeerEffect)
+				if isPeer {
+					_, isReset := sent.Effect().(peer.ResetLinks)
+					reset = reset || isReset
+				}
+			}
+			So(reset, ShouldEqual, suspension > 3*time.Second)
+			So(d.members.leader == "", ShouldEqual, suspension > 3*time.Second)
+		}
+	})
+}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -85,6 +85,8 @@
 		s.stop(now)
 	case Ticked:
 		s.tick(now)
+	case Suspended:
+		s.reducePeer(now, peer.NewSuspended(e.duration))
 	case PeerEvent:
 		s.reducePeer(now, e.event)
 	case ReplicaEvent:
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -133,6 +133,12 @@
 // NewStoreCompleted returns the event that a store request of this package ended with result.
 func NewStoreCompleted(result object.Result) StoreCompleted { return StoreCompleted{result} }
 
+// Suspended reports that the instance was suspended while the clock of Reduce stood still.
+type Suspended struct{ duration time.Duration }
+
+// NewSuspended returns the event that the instance was suspended for duration, which the times of Reduce do not include.
+func NewSuspended(duration time.Duration) Suspended { return Suspended{duration} }
+
 // Ticked reports that time has passed.
 type Ticked struct{}
 
@@ -169,4 +175,6 @@
 
 func (StoreCompleted) isEvent() {}
 
+func (Suspended) isEvent() {}
+
 func (Ticked) isEvent() {}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -103,6 +103,9 @@
 	if !s.configured {
 		return nil
 	}
+	if suspended, ok := e.(Suspended); ok {
+		s.lastEventAt = s.lastEventAt.Add(-suspended.duration)
+	}
 	s.detectFreeze(now)
 	s.reduce(now, e)
 	return s.effects
