gateway: Blame no upstream for a caller that leaves its answer

A failed write to the caller was reported as an interrupted upstream if it came before the cancellation of the request: the upstream was probed, and the request and the parts of its prompt were counted towards those that crash upstreams. Such an error now ends the call as one whose caller left.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,7 +178,7 @@
 ) bool {
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
 	e.writeHead(answer.Response)
-	if _, err := io.Copy(e.writer, io.MultiReader(bytes.NewReader(first), answer.Response.Body)); err != nil {
+	if _, err := io.Copy(callerWriter{e.writer}, io.MultiReader(bytes.NewReader(first), answer.Response.Body)); err != nil {
 		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
@@ -210,7 +210,33 @@
 func (e *exchange) reportTruncated(ctx context.Context, send dispatch.Send, answer *transport.Exchange, err error) {
 	answer.Abort()
 	e.daemon.log.Info("upstream", "answer truncated", "id", e.name, "upstream", send.Upstream(), "err", err.Error())
-	e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Interrupted))
+	e.reportBroken(ctx, send, err)
+}
+
+// callerError is an error of writing to the caller.
+type callerError struct{ error }
+
+// callerWriter marks the errors of writing to the caller.
+type callerWriter struct{ io.Writer }
+
+// Write writes to the caller.
+func (w callerWriter) Write(b []byte) (int, error) {
+	n, err := w.Writer.Write(b)
+	if err != nil {
+		err = callerError{err}
+	}
+	return n, err
+}
+
+// reportBroken reports an attempt that ended with an error while its answer was forwarded. If the caller is gone, the upstream is not to
+// blame.
+func (e *exchange) reportBroken(ctx context.Context, send dispatch.Send, err error) {
+	failed := dispatch.NewFailed(send.Attempt(), dispatch.Interrupted)
+	if errors.As(err, &callerError{}) {
+		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
+		failed = failed.WithFailure(dispatch.Halted)
+	}
+	e.reportFailure(ctx, failed)
 }
 
 // keepAnswer keeps an answer whose body was read completely, and ends the exchange.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,7 +90,7 @@
 		answer.Abort()
 		e.daemon.log.Info("upstream", "stream failed",
 			"id", e.name, "upstream", send.Upstream(), "last", e.lastEventID, "err", err.Error())
-		e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.Interrupted))
+		e.reportBroken(ctx, send, err)
 		return false
 	}
 	answer.Close()
@@ -119,10 +119,10 @@
 		}
 		e.writeHead(answer.Response)
 		if _, err := e.writer.Write(event); err != nil {
-			return err
+			return callerError{err}
 		}
 		if err := control.Flush(); err != nil {
-			return err
+			return callerError{err}
 		}
 		if id != "" {
 			e.lastEventID, withoutID = id, 0
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/azurepond/azurepond/internal/transport"
+	"github.com/azurepond/azurepond/pkg/dispatch"
+	"github.com/azurepond/azurepond/pkg/gateway"
 )
 
 // relayBody returns what a caller receives of an upstream's stream, and nil if the stream counts as complete.
@@ -66,6 +70,53 @@
 	})
 }
 
+// goneCaller is a caller whose connection is closed.
+type goneCaller struct{ http.ResponseWriter }
+
+func (goneCaller) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+func (goneCaller) Flush() {}
+
+func TestUpstreamBlamedForCaller(t *testing.T) {
+	Convey("An answer that cannot be written, since its caller is gone, is not a failure of the upstream", t, func() {
+		newExchange := func() *exchange {
+			d := &Daemon{events: make(chan gateway.Event, 4), log: &logger{}, ctx: context.Background()}
+			return &exchange{daemon: d, id: 7, writer: goneCaller{httptest.NewRecorder()}, headSent: true}
+		}
+		events := func(e *exchange) []gateway.Event {
+			close(e.daemon.events)
+			return slices.Collect(func(yield func(gateway.Event) bool) {
+				for event := range e.daemon.events {
+					yield(event)
+				}
+			})
+		}
+		var send dispatch.Send
+		gone := []gateway.Event{
+			gateway.NewDispatchEvent(dispatch.NewCallerLeft(7)),
+			gateway.NewDispatchEvent(dispatch.NewFailed(send.Attempt(), dispatch.Halted).WithProgress("")),
+		}
+
+		e := newExchange()
+		body := io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))
+		err := e.relay(&transport.Exchange{Response: &http.Response{Body: body, ContentLength: -1}}, func(bool) {})
+		So(err, ShouldNotBeNil)
+		e.reportBroken(context.Background(), send, err)
+		So(events(e), ShouldResemble, gone)
+
+		e = newExchange()
+		_, err = io.Copy(callerWriter{e.writer}, strings.NewReader("large"))
+		e.reportBroken(context.Background(), send, err)
+		So(events(e), ShouldResemble, gone)
+
+		e = newExchange()
+		e.reportBroken(context.Background(), send, io.ErrUnexpectedEOF)
+		So(events(e), ShouldResemble, []gateway.Event{
+			gateway.NewDispatchEvent(dispatch.NewFailed(send.Attempt(), dispatch.Interrupted).WithProgress("")),
+		})
+	})
+}
+
 func TestReadEvent(t *testing.T) {
 	Convey("An event longer than the buffer is read completely", t, func() {
 		longEvent := "id: 1\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -21,7 +21,7 @@
 	defaultIdleTimeout   = 4 * time.Second // a second below the shortest common idle timeout of servers
 	idleTimeoutMargin    = time.Second     // a server may close slightly early
 	maxIdlePerUpstream   = 32              // about the number of slots of an upstream
-	maxHeadBytes         = 64 << 10        // of all answers that are read for one request
+	maxHeadBytes         = 64 << 10        // of the head of an answer
 )
 
 // soTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
