--- a/pkg/dispatch/parts.go
+++ b/pkg/dispatch/parts.go
@@ -10,13 +10,13 @@
 
 // Detection of parts of prompts that crash upstreams: each request with such a part crashes the upstream that begins to answer it, and no
 // two of these requests are alike. For each part, one daemon counts the crashes. After two it asks all daemons whether a request with the
-// part was answered lately, which clears the part; after partCrashesToRefuse, all daemons refuse requests with it. Requests that
-// ran beside one that crashes their upstream are interrupted too, but their parts are answered in other requests.
+// part was answered lately, which clears the part; after four, all daemons refuse requests with it. Requests that ran beside one that
+// crashes their upstream are interrupted too, but their parts are answered in other requests.
 
 // The limits of counting the crashes of a part.
 const (
 	partCrashesToAsk    = 2
-	partCrashesToRefuse = 4                      // by chance, an innocent part that nobody has answered is part of three
+	partCrashesToRefuse = 4                      // three may be chance for an innocent part that nobody has answered
 	partSameCrash       = 2 * time.Second        // reports of several daemons on the same upstream; a restart takes longer
 	partAnswerTime      = 300 * time.Millisecond // from the question until the part is refused; messages take a tenth of it
 	partClearTime       = 30 * time.Second       // for which a part that was answered is not counted
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -99,7 +99,7 @@
 // NewStoreWatchChanged returns the event that enables or disables the watches of documents in the store.
 func NewStoreWatchChanged(enabled bool) StoreWatchChanged { return StoreWatchChanged{enabled} }
 
-// RereadRequested requests the documents to be read from the store again, over new connections, since the watches can't be trusted.
+// RereadRequested requests the documents to be read from the store again, since its watches may have missed a change.
 type RereadRequested struct{}
 
 // NewRereadRequested returns the event that restarts the reads and watches of all documents in the store. Those in force stay in
