gateway, dispatch: Test the watch of the list over silent connections, and mend wording

The fix of the silent watches covered the list of upstreams without a test of its own: TestListDuringSilentConnections fails if the list's watch is not replaced, and passes. A factor above one was called a share, and two lists of events and effects were wrapped oddly and lacked Throttled and PauseProbes. No behaviour changes.

--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -6,9 +6,8 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// Effect is an action for the driver: Send, Cancel, Refuse, Fail, ForwardFailure, Drop, RequestSlot, ReportUsage,
-// ReplySlot, ReportCrash, MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts,
-// MarkPart, Suspect or Note.
+// Effect is an action for the driver: Send, Cancel, Refuse, Fail, ForwardFailure, Drop, RequestSlot, ReportUsage, ReplySlot, ReportCrash,
+// MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts, MarkPart, PauseProbes, Suspect or Note.
 type Effect interface{ isEffect() }
 
 // Send sends a request to an upstream.
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -6,10 +6,9 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed,
-// CallerLeft, SlotReply, SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, PartCrashReported, PartAnswered,
-// PartsAsked, PartMarked, ReplicaBroken,
-// BudgetPeersChanged, RetryLimitsChanged, Stopping, Delayed or Ticked.
+// Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed, CallerLeft, SlotReply,
+// SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, PartCrashReported, PartAnswered, PartsAsked, PartMarked,
+// ReplicaBroken, BudgetPeersChanged, RetryLimitsChanged, Throttled, Stopping, Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured reports the configuration that is in force.
--- a/pkg/gateway/config_test.go
+++ b/pkg/gateway/config_test.go
@@ -13,6 +13,7 @@
 // The times that the platform allows.
 const (
 	configDeadline  = 2 * time.Second // from the store's acknowledgement of a version until all daemons apply it
+	listDeadline    = 2 * time.Second // from the store's acknowledgement that an upstream leaves until it gets no new work
 	disturbanceTime = 3 * time.Second // for which a daemon is excused after a disturbance
 )
 
@@ -200,3 +201,17 @@
 	}
 	return count
 }
+
+func TestListDuringSilentConnections(t *testing.T) {
+	Convey("Readers whose open connections are silent read the list again before an upstream that leaves must get no new work", t, func() {
+		for step := range 5 {
+			f := newFleet(smallFleet(), time.Minute)
+			f.run(8*time.Second + time.Duration(step)*200*time.Millisecond)
+			f.silenceConnections()
+			f.run(f.now.Sub(fleetEpoch) + listDeadline)
+			for _, d := range f.daemons {
+				So(d.watching && d.listSilent, ShouldBeFalse)
+			}
+		}
+	})
+}
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -90,7 +90,7 @@
 	silence time.Duration
 }
 
-// Watch returns what the silent watch is of.
+// Watch returns the name of what was watched.
 func (r ResetStore) Watch() string { return r.watch }
 
 // Silence returns the time since the last answer of the watch.
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -10,8 +10,8 @@
 // A connection may fall silent without a reset while new ones work. The store answers each call of a watch after a known time, also
 // if nothing changed, so a watch without answers is replaced by one over a new connection.
 
-// silentWatchShare is the time without an answer after which a watch counts as silent, as a share of the wait of its calls.
-const silentWatchShare = 1.5
+// silentWatchFactor times the wait of its calls is how long a watch may be without an answer.
+const silentWatchFactor = 1.5
 
 // storeWatch is when the store last answered a watch; the zero value is a watch that was not answered yet.
 type storeWatch struct {
@@ -52,7 +52,7 @@
 	if s.settings.watchWait == 0 {
 		return
 	}
-	limit := time.Duration(silentWatchShare*float64(s.settings.watchWait)) + s.lag.Recent(now)
+	limit := time.Duration(silentWatchFactor*float64(s.settings.watchWait)) + s.lag.Recent(now)
 	if silence := s.configWatch.silence(now); silence > limit {
 		s.configWatch = storeWatch{}
 		s.emit(ResetStore{configDocument, silence})
