--- a/pkg/gateway/fleet_engines_test.go
+++ b/pkg/gateway/fleet_engines_test.go
@@ -28,7 +28,7 @@
 			all = append(all, f.entry(e))
 		}
 	}
-	return all
+	return append(all, f.processes...)
 }
 
 // changed tells the daemons that watch the list of a changed entry.
--- a/pkg/gateway/fleet_store_test.go
+++ b/pkg/gateway/fleet_store_test.go
@@ -137,7 +137,10 @@
 	d.storeCalls++
 	number := d.listWatch
 	f.after(delay, func() {
-		if d.listWatch == number {
+		if d.listWatch == number && d.rejected {
+			f.feed(d, NewListFailed())
+			f.readList(d, fleetRetryDelay)
+		} else if d.listWatch == number {
 			f.feed(d, NewListed(f.listed()).WithEra(f.era))
 			f.pollList(d, number)
 		}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -93,6 +93,9 @@
 	listSilent    bool      // its connection delivers nothing
 	pooledSilent  bool      // the idle connections to the store deliver nothing
 	disturbedAt   time.Time // last start, end of a freeze, or loss of connections
+	rejected      bool      // by the store
+	cut           bool      // from its peers and the store
+	isSlow        bool
 }
 
 // fleetCall is a call at a daemon.
@@ -158,6 +161,7 @@
 	repeats   int                      // sends of calls that were sent before in the same try
 	isLimited bool                     // the events of a daemon take processor time
 	attempts  map[string]*fleetAttempt // that have not ended
+	processes []Upstream               // of plain services
 }
 
 func newFleet(size fleetSize, traffic time.Duration) *fleet {
@@ -202,7 +206,7 @@
 		WithLoadLimits(f.size.loadsPerSecond, f.size.concurrentLoads, 1, 300*time.Millisecond).
 		WithCrossDomainFactor(2.5)
 	return route.New(revision).
-		WithServices(route.NewService("engines", "/h", 1988).WithEngine(engine)).
+		WithServices(f.services(revision, engine)...).
 		WithRoutes(route.NewRoute("draft", "pond", "/draft/", route.Stream).
 			WithTimes(6*time.Second, 400*time.Millisecond, 250*time.Millisecond).WithMaxAttempts(2).WithResumable(true).
 			WithSplit(route.NewWeightedService("engines", 1))).
@@ -310,7 +314,7 @@
 // send delivers a message through the codec.
 func (f *fleet) send(d *fleetDaemon, send peer.Send) {
 	to := f.byAddr[send.Address()]
-	if to == nil || to.down || to.started.IsZero() {
+	if to == nil || to.down || to.started.IsZero() || d.cut || to.cut {
 		return // the connection is refused
 	}
 	data, err := peer.Encode(send.Message())
@@ -385,6 +389,10 @@
 	reply := func(result object.Result) {
 		f.feed(d, NewStoreCompleted(effect.Component(), object.InEra(result, f.era)))
 	}
+	if d.rejected {
+		f.after(fleetStoreDelay, func() { reply(object.NewRefused(ref, "Service Unavailable")) })
+		return
+	}
 	if d.pooledSilent {
 		f.after(fleetCallTimeout, func() {
 			d.pooledSilent = false
