gateway: Request the changes of the list again that were dropped beside an unanswered watch

Callers saw: a route that had been added was not served by a daemon, for good.

Cause: a daemon whose reader falls silent watches the list itself. When the reader returned before that watch was answered, the changes in its update were dropped, since the own watch would be newer, but the update was counted as received. The watch was then stopped, and the entry stayed unknown until it changed again.

Fix: an update that is dropped does not advance the revision, so that the daemon requests the changes after its watch has stopped.

--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -239,10 +239,12 @@
 	if isSameStart && sync.synced && update.toRevision < sync.sourceRevision {
 		return // overtaken by a later update
 	}
-	sync.receivedAt, sync.sourceStart, sync.sourceRevision, sync.synced = now, update.readerStart, update.toRevision, true
+	sync.receivedAt = now
 	if sync.watchesStore && !s.members.storeUnreachable && !update.complete {
-		return // this daemon's own watch of the list is newer
+		// The daemon's own watch is newer if it is answered. If it is not, the changes are requested again after it has stopped.
+		return
 	}
+	sync.sourceStart, sync.sourceRevision, sync.synced = update.readerStart, update.toRevision, true
 	if update.unavailable {
 		s.listing.unavailable = true
 		return
--- a/pkg/gateway/sync_test.go
+++ b/pkg/gateway/sync_test.go
@@ -90,3 +90,26 @@
 		})
 	})
 }
+
+func TestUpdateLostBesideUnansweredWatch(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	Convey("A subscriber that gets an update while its own watch of the list is not answered has the changes once the watch has stopped", t, func() {
+		reader := newReader(now)
+		reply := func(s *State) listMessage {
+			return reader.listReply(listMessage{isRequest: true, readerStart: s.listSync.sourceStart, toRevision: s.listSync.sourceRevision})
+		}
+		var s State
+		s.start(now, NewSettings("subscriber", "c0", "1", 2))
+		s.listSync.source = "reader"
+		s.applyListUpdate(now, reply(&s))
+		s.watchUpstreams(ownWatchInterval)
+		later := now.Add(5 * time.Second)
+		reader.applyList(later, NewListChanges([]Upstream{entry("new")}, nil))
+		reader.sendListUpdates(later)
+		s.applyListUpdate(later, reply(&s))
+		So(s.hasSource(later), ShouldBeTrue)
+		s.watchUpstreams(0)
+		s.applyListUpdate(later, reply(&s))
+		So(s.listing.entries, ShouldContainKey, replica.ID("new"))
+	})
+}
