dispatch, platform, gateway: Log the limits that upstreams name

Each change is a line 'upstream: limit'; the gauge of upstreams has a state 'limited'. Placement is unchanged.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -204,6 +204,8 @@
 		d.cancelAttempt(effect.Attempt())
 	case dispatch.Note:
 		d.recordDecision(effect)
+	case dispatch.LimitChanged:
+		d.log.Info("upstream", "limit", "upstream", effect.Upstream(), "perSecond", effect.PerSecond(), "source", effect.Source())
 	case dispatch.Send:
 		d.deliver(effect.ID(), effect)
 	case dispatch.Refuse:
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -88,7 +88,7 @@
 	Upstreams = Metric{
 		"azurepond_upstreams",
 		[]string{"state"},
-		"upstreams", "Listed upstreams that shut down (leaving), and upstreams that throttle this daemon (throttling).",
+		"upstreams", "Listed upstreams that shut down (leaving), upstreams that throttle this daemon (throttling), and upstreams that name a limit (limited).",
 	}
 	Lag = Metric{
 		"azurepond_lag_milliseconds",
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -7,7 +7,7 @@
 )
 
 // Effect is an action for the driver: Send, Cancel, Refuse, Fail, ForwardFailure, Drop, RequestSlot, ReportUsage, ReplySlot, ReportCrash,
-// MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts, MarkPart, PauseProbes, Suspect or Note.
+// MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts, MarkPart, PauseProbes, LimitChanged, Suspect or Note.
 type Effect interface{ isEffect() }
 
 // Send sends a request to an upstream.
@@ -229,6 +229,22 @@
 // Until returns the end of that time.
 func (q PauseProbes) Until() time.Time { return q.until }
 
+// LimitChanged reports a change of the rate of requests that an upstream accepts from all daemons together.
+type LimitChanged struct {
+	upstream  string
+	perSecond float64
+	source    string
+}
+
+// Upstream returns the upstream.
+func (l LimitChanged) Upstream() string { return l.upstream }
+
+// PerSecond returns the rate in requests per second, 0 for no limit any more.
+func (l LimitChanged) PerSecond() float64 { return l.perSecond }
+
+// Source returns the daemon that reported it, or "answer" if an answer to this daemon named it.
+func (l LimitChanged) Source() string { return l.source }
+
 // The decisions on requests, as written to logs and metrics.
 const (
 	NoteSent             = "sent"
@@ -338,6 +354,8 @@
 
 func (MarkPart) isEffect() {}
 
+func (LimitChanged) isEffect() {}
+
 func (Suspect) isEffect() {}
 
 func (PauseProbes) isEffect() {}
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -19,6 +19,7 @@
 	a.isStarted = true
 	a.call.hasPartialAnswer = true
 	a.upstream.recordLoad(now, e.load)
+	s.observeLimit(now, a, e.load.limit)
 }
 
 // handleFirstEvent records that the prefill of an attempt has ended.
@@ -101,6 +102,7 @@
 // recordFailure updates the state of the upstream after a failure.
 func (s *State) recordFailure(now time.Time, a *attempt, e Failed) {
 	a.upstream.recordLoad(now, e.load)
+	s.observeLimit(now, a, e.load.limit)
 	if e.faultyUpstream != "" {
 		s.emit(Suspect{e.faultyUpstream, "reported by another upstream"})
 	}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -37,8 +37,9 @@
 	unreported            map[string]bool      // replicas whose usage changed since the last report
 	slotTables            map[Shard]*slotTable // of the shards that this daemon owns
 	shardLoads            map[Shard]shardLoad
-	runningByOrganisation map[string]int // running attempts
-	lag                   clock.Lag      // of this daemon
+	runningByOrganisation map[string]int           // running attempts
+	limits                map[string]upstreamLimit // by the name of the upstream
+	lag                   clock.Lag                // of this daemon
 	policy                policy
 	effects               []Effect
 }
@@ -71,6 +72,7 @@
 		slotTables:            map[Shard]*slotTable{},
 		shardLoads:            map[Shard]shardLoad{},
 		runningByOrganisation: map[string]int{},
+		limits:                map[string]upstreamLimit{},
 		budgetPeers:           1,
 	}
 }
@@ -181,6 +183,7 @@
 		s.forgetReplicas(up)
 		s.forgetCrashes(now)
 		s.forgetParts(now)
+		s.forgetLimits(up)
 	}
 }
 
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -10,10 +10,22 @@
 	running int
 	waiting int
 	slots   int
+	limit   Limit
 }
 
 // NewLoad returns the load of an upstream with its running and waiting requests and its slots.
-func NewLoad(running, waiting, slots int) Load { return Load{true, running, waiting, slots} }
+func NewLoad(running, waiting, slots int) Load {
+	return Load{known: true, running: running, waiting: waiting, slots: slots}
+}
+
+// WithLimit returns the load with what the upstream says about the rate of requests that it accepts.
+func (l Load) WithLimit(limit Limit) Load {
+	l.limit = limit
+	return l
+}
+
+// Limit returns what the upstream says about the rate of requests that it accepts.
+func (l Load) Limit() Limit { return l.limit }
 
 // Target is an upstream that accepts requests.
 type Target struct {
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -163,6 +163,7 @@
 	lag          time.Duration
 	leaving      int
 	throttling   int
+	limited      int
 }
 
 // Active returns how many requests have not ended.
@@ -189,6 +190,9 @@
 // Throttling returns how many upstreams throttle this daemon now.
 func (s Stats) Throttling() int { return s.throttling }
 
+// Limited returns how many upstreams name a limit of the rate of requests that they accept.
+func (s Stats) Limited() int { return s.limited }
+
 // Problem is an error to log; processing continues.
 type Problem struct{ message, reason string }
 
