dispatch: Reproduce LIMIT with clusters whose upstreams name limits

A cluster of 7 or 66 daemons with replicas and a plain service, with restarts, freezes and moving shard owners, and the users' rule as the check.

--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -29,11 +29,19 @@
 	lateness        time.Duration  // with which daemons handle messages
 	withoutReplicas int            // number of daemons that list no replica
 	organisation    string         // of the next requests, empty for "one"
+	path            string         // of the next requests, empty for /draft/x
 	callerTimeout   time.Duration  // of the next arrivals, 0 for callTimeout
 	downTime        time.Duration  // for which a replica that crashed does not answer
 	downUntil       map[string]time.Time
 	poisonSends     []time.Time // of requests with the part that crashes upstreams
+	processes       []Target    // of the plain service
+	limited         map[string]*limitedUpstream
+	disturbedAt     map[int]time.Time // end of the last restart or freeze of a daemon
+	downSince       map[int]time.Time // of the daemons that are frozen
+	heldBack        map[int][]Event   // events that frozen daemons have not read
+	lives           map[int]int       // number of the restarts of a daemon
 	crashedAt       []time.Time
+	config          route.Config
 }
 
 // clusterCall is a request to one daemon.
@@ -57,17 +65,23 @@
 }
 
 func newCluster(daemons, replicas int, withoutSlots bool) *cluster {
-	cl := &cluster{now: epoch, running: map[string][]*clusterCall{}, waiting: map[string][]*clusterCall{}, downUntil: map[string]time.Time{}}
+	cl := &cluster{
+		now: epoch, running: map[string][]*clusterCall{}, waiting: map[string][]*clusterCall{}, downUntil: map[string]time.Time{},
+		limited: map[string]*limitedUpstream{}, disturbedAt: map[int]time.Time{}, downSince: map[int]time.Time{},
+		heldBack: map[int][]Event{}, lives: map[int]int{},
+	}
 	for i := range replicas {
 		cl.targets = append(cl.targets, NewTarget(fmt.Sprintf("h%d", i), fmt.Sprintf("10.0.0.%d:1", i), true, replicaSlotCount))
 	}
 	engine := route.NewEngine(replicaSlotCount, route.NewModel("m", 2, 1, 1)).
 		WithStepTimes(6*time.Millisecond, 240*time.Microsecond, 5, 46000, 2048)
-	config := route.New(1).
-		WithServices(route.NewService("engines", "/h", 100).WithEngine(engine)).
+	cl.config = route.New(1).
+		WithServices(route.NewService("engines", "/h", 100).WithEngine(engine), route.NewService("desk", "/h", 100)).
 		WithRoutes(route.NewRoute("draft", "pond", "/draft/", route.Stream).
 			WithTimes(callTimeout, callGoal, callGoal).WithMaxAttempts(2).WithResumable(true).
-			WithSplit(route.NewWeightedService("engines", 1))).
+			WithSplit(route.NewWeightedService("engines", 1)),
+			route.NewRoute("read", "pond", "/read/", route.Idempotent).WithTimes(callTimeout, callGoal, 0).WithMaxAttempts(2).
+				WithSplit(route.NewWeightedService("desk", 1))).
 		WithOrganisation(route.NewOrganisation("one", 0, false), "one").
 		WithOrganisation(route.NewOrganisation("two", 0, false), "two")
 	for i := range daemons {
@@ -76,7 +90,7 @@
 			daemon.policy = noSlots{}
 		}
 		cl.daemons = append(cl.daemons, &daemon)
-		cl.feed(i, NewConfigured(config))
+		cl.feed(i, NewConfigured(cl.config))
 		cl.feed(i, NewBudgetPeersChanged(daemons))
 	}
 	return cl
@@ -102,15 +116,26 @@
 	return slices.DeleteFunc(slices.Clone(v.targets), func(t Target) bool { return v.isDown(t.name) })
 }
 
-// Processes returns nil, since the cluster has no plain service.
-func (v daemonView) Processes(string) []Target { return nil }
+// Processes returns the processes of the plain service, or the replicas.
+func (v daemonView) Processes(service string) []Target {
+	if service == "engines" {
+		return v.targets
+	}
+	return v.processes
+}
 
-// Owner returns the daemon that the number of the shard selects, "" if that is this one.
 // NextOpening returns now: a replica may open at any time.
 func (v daemonView) NextOpening(now time.Time, _ string) time.Time { return now }
 
+// Owner returns the daemon that the number of the shard selects, "" if that is this one.
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
+	for range v.daemons {
+		if v.mayOwn(v.self, owner) {
+			break
+		}
+		owner = (owner + 1) % len(v.daemons)
+	}
 	if owner == v.self {
 		return ""
 	}
@@ -122,6 +147,10 @@
 }
 
 func (cl *cluster) feed(self int, e Event) {
+	if !cl.downSince[self].IsZero() {
+		cl.holdBack(self, e)
+		return
+	}
 	name := strconv.Itoa(self)
 	for _, effect := range cl.daemons[self].Reduce(cl.now, daemonView{cl, self}, e) {
 		switch effect := effect.(type) {
@@ -132,6 +161,7 @@
 		case ReportUsage:
 			cl.deliver(effect.Owner(), NewUsageReported(name, effect.Usage()))
 		case Send:
+			cl.countArrival(effect.Upstream(), self)
 			cl.send(cl.calls[effect.ID()], effect)
 		case Cancel:
 			cl.cancel(effect.Attempt(), self)
@@ -184,7 +214,7 @@
 func (cl *cluster) arriveWith(daemon int, timeout time.Duration, contentHash uint64) {
 	c := &clusterCall{id: ID(len(cl.calls)), daemon: daemon, arrived: cl.now, timeout: timeout, contentHash: contentHash, organisation: cmp.Or(cl.organisation, "one")}
 	cl.calls = append(cl.calls, c)
-	cl.feed(daemon, NewArrived(NewRequest(c.id, fmt.Sprint(c.id), "pond", "/draft/x", c.organisation).WithModel("m", 500, 100).
+	cl.feed(daemon, NewArrived(NewRequest(c.id, fmt.Sprint(c.id), "pond", cmp.Or(cl.path, "/draft/x"), c.organisation).WithModel("m", 500, 100).
 		WithTimeout(timeout).WithContentHash(contentHash)))
 }
 
@@ -256,7 +286,8 @@
 		c.begunAtFirst = c.sends == 1
 		c.firstEvent = cl.now.Sub(c.arrived)
 	}
-	load := NewLoad(len(cl.running[c.upstream]), len(cl.waiting[c.upstream]), replicaSlotCount)
+	load := NewLoad(len(cl.running[c.upstream]), len(cl.waiting[c.upstream]), replicaSlotCount).
+		WithLimit(cl.answerLimit(c.upstream, c.daemon))
 	cl.feed(c.daemon, NewStarted(c.attempt, load))
 	cl.feed(c.daemon, NewFirstEventReceived(c.attempt))
 }
@@ -273,11 +304,11 @@
 // arrivals schedules requests at a rate, at random daemons and times drawn from seed.
 func (cl *cluster) arrivals(rate float64, d time.Duration, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 4))
-	timeout, organisation := cmp.Or(cl.callerTimeout, callTimeout), cl.organisation
+	timeout, organisation, path := cmp.Or(cl.callerTimeout, callTimeout), cl.organisation, cl.path
 	for range int(rate * d.Seconds()) {
 		at, daemon := time.Duration(random.Float64()*float64(d)), random.IntN(len(cl.daemons))
 		cl.after(at, func() {
-			cl.organisation = organisation
+			cl.organisation, cl.path = organisation, path
 			cl.arrive(daemon, timeout)
 		})
 	}
