dispatch, gateway: Grant the slots of upstreams that name limits at their rate

Change: the owner of a shard grants slots at the rate, with tokens that a new owner starts without. While an upstream names a limit, each send to it needs a slot; the processes of a plain service are one shard. Daemons report limits to the owner, which shares them as facts. What can't be granted in time is refused at once, with the time at which the limits allow it; calls that return then go first, and organisations below an even share may wait. Suspicions lead to probes of such an upstream every four seconds.

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -91,6 +91,7 @@
 	isRetryCounted   bool     // the retry budget already counts the next send
 	queuedAt         time.Time
 	deniedShards     []Shard     // whose owners denied a slot
+	hasSlot          bool        // the next send uses a granted slot
 	finalEffect      finalEffect // emitted when the cancelled attempt ends, nil if the call goes on
 	hasErrorResponse bool        // the driver keeps an error response of the last attempt that it can forward
 }
@@ -118,4 +119,5 @@
 	hasEvent     bool // the first event was received
 	isSuspected  bool // its upstream was reported as suspect, since the stream stalled
 	isCancelled  bool
+	hasSlot      bool // the owner of the shard counts it
 }
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -158,6 +158,10 @@
 			cl.deliver(effect.Owner(), NewSlotRequested(name, effect.Request()))
 		case ReplySlot:
 			cl.deliver(effect.To(), effect.Reply())
+		case ReportLimit:
+			cl.deliver(effect.Owner(), NewLimitReported(effect.Upstream(), effect.PerSecond(), name))
+		case ShareLimit:
+			cl.shareLimit(self, effect)
 		case ReportUsage:
 			cl.deliver(effect.Owner(), NewUsageReported(name, effect.Usage()))
 		case Send:
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -7,7 +7,8 @@
 )
 
 // Effect is an action for the driver: Send, Cancel, Refuse, Fail, ForwardFailure, Drop, RequestSlot, ReportUsage, ReplySlot, ReportCrash,
-// MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts, MarkPart, PauseProbes, LimitChanged, Suspect or Note.
+// MarkPoison, ReportPartCrash, ReportPartAnswered, AskParts, MarkPart, PauseProbes, ReportLimit, ShareLimit, LimitChanged, Suspect or
+// Note.
 type Effect interface{ isEffect() }
 
 // Send sends a request to an upstream.
@@ -229,22 +230,6 @@
 // Until returns the end of that time.
 func (q PauseProbes) Until() time.Time { return q.until }
 
-// LimitChanged reports a change of the rate of requests that an upstream accepts from all daemons together.
-type LimitChanged struct {
-	upstream  string
-	perSecond float64
-	source    string
-}
-
-// Upstream returns the upstream.
-func (l LimitChanged) Upstream() string { return l.upstream }
-
-// PerSecond returns the rate in requests per second, 0 for no limit any more.
-func (l LimitChanged) PerSecond() float64 { return l.perSecond }
-
-// Source returns the daemon that reported it, or "answer" if an answer to this daemon named it.
-func (l LimitChanged) Source() string { return l.source }
-
 // The decisions on requests, as written to logs and metrics.
 const (
 	NoteSent             = "sent"
@@ -354,8 +339,6 @@
 
 func (MarkPart) isEffect() {}
 
-func (LimitChanged) isEffect() {}
-
 func (Suspect) isEffect() {}
 
 func (PauseProbes) isEffect() {}
@@ -379,11 +362,13 @@
 	CallerGone
 	DaemonStopping
 	Poison
+	UpstreamLimit
 )
 
 var reasonNames = [...]string{
 	"no configuration yet", "no route", "unknown key", "no upstream", "overload", "attempts exhausted",
 	"retry budget spent", "answer lost", "timeout", "caller gone", "stopping", "crashes upstreams",
+	"upstream limit",
 }
 
 // String returns the reason as written to logs and metrics.
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -8,7 +8,7 @@
 
 // Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed, CallerLeft, SlotReply,
 // SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, PartCrashReported, PartAnswered, PartsAsked, PartMarked,
-// ReplicaBroken, BudgetPeersChanged, RetryLimitsChanged, Throttled, Stopping, Delayed or Ticked.
+// ReplicaBroken, BudgetPeersChanged, RetryLimitsChanged, Throttled, LimitReported, Stopping, Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured reports the configuration that is in force.
@@ -150,6 +150,8 @@
 	upstream  string
 	calls     int
 	excess    int
+	// retryAfter is when a denied call may get a slot, 0 if no limit of an upstream is the reason.
+	retryAfter time.Duration
 }
 
 // NewSlotReply returns a reply to a slot request; excess is the number of waiting calls of the shard minus its free
@@ -164,6 +166,15 @@
 	return r
 }
 
+// WithRetryAfter returns the reply with when a call that is denied because of the limits of upstreams may get a slot.
+func (r SlotReply) WithRetryAfter(wait time.Duration) SlotReply {
+	r.retryAfter = wait
+	return r
+}
+
+// RetryAfter returns when a denied call may get a slot, 0 if no limit of an upstream is the reason.
+func (r SlotReply) RetryAfter() time.Duration { return r.retryAfter }
+
 // RequestID returns the id of the slot request, unique within the requesting daemon.
 func (r SlotReply) RequestID() uint64 { return r.requestID }
 
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -28,19 +28,28 @@
 	maxShardTries         = 2                      // shards that are tried for a free slot before a call waits for one
 )
 
-// Shard is a part of the replicas of a model, whose slots one daemon grants.
+// Shard is a part of the replicas of a model, or all processes of a plain service, whose slots one daemon grants.
 type Shard struct {
-	model  string
-	number uint64
+	service string // empty for replicas
+	model   string
+	number  uint64
 }
 
 // shardOf returns the shard of a replica, by its head.
 func shardOf(model, head string) Shard {
-	return Shard{model, xxhash.Sum64String(head) % shardsPerModel}
+	return NewShard(model, xxhash.Sum64String(head))
 }
 
 // NewShard returns a shard of the replicas of model.
-func NewShard(model string, number uint64) Shard { return Shard{model, number % shardsPerModel} }
+func NewShard(model string, number uint64) Shard {
+	return Shard{model: model, number: number % shardsPerModel}
+}
+
+// NewServiceShard returns the shard of all processes of a plain service.
+func NewServiceShard(service string) Shard { return Shard{service: service} }
+
+// Service returns the plain service of the shard, empty for replicas of a model.
+func (s Shard) Service() string { return s.service }
 
 // Model returns the model of the replicas.
 func (s Shard) Model() string { return s.model }
@@ -48,8 +57,13 @@
 // Number returns the number of the shard within its model.
 func (s Shard) Number() uint64 { return s.number }
 
-// String returns the shard as model/number.
-func (s Shard) String() string { return s.model + "/" + strconv.FormatUint(s.number, 10) }
+// String returns the shard as model/number, or as the name of its service.
+func (s Shard) String() string {
+	if s.service != "" {
+		return s.service
+	}
+	return s.model + "/" + strconv.FormatUint(s.number, 10)
+}
 
 // pendingSlot is a slot request without a final reply.
 type pendingSlot struct {
@@ -71,9 +85,18 @@
 // maxShardLoadAge is how long the load of a shard is valid; slots turn over within a few seconds.
 const maxShardLoadAge = time.Second
 
-// needsSlot reports whether a call needs a slot before it is sent. A retry does not, to avoid further delay.
-func (s *State) needsSlot(c *call) bool {
-	return requestsSlots(s.policy) && c.sends == 0 && s.isModelCall(c)
+// needsSlot reports whether a call needs a slot before it is sent. A retry does not, to avoid further delay, unless an upstream of the
+// call names a limit.
+func (s *State) needsSlot(up Upstreams, c *call) bool {
+	return requestsSlots(s.policy) && (c.sends == 0 && s.isModelCall(c) || s.hasLimited(up, c))
+}
+
+// shardFor returns the shard of an upstream of a call.
+func (s *State) shardFor(c *call, name string) Shard {
+	if s.isModelCall(c) {
+		return shardOf(c.model, name)
+	}
+	return NewServiceShard(c.service)
 }
 
 // requestSlot requests a slot for a call: first a free one in up to maxShardTries shards, then one to wait for in the
@@ -81,7 +104,7 @@
 func (s *State) requestSlot(now time.Time, up Upstreams, c *call) {
 	shard, isFound := s.pickShard(now, up, c)
 	maxWait := time.Duration(0)
-	if len(c.deniedShards) >= maxShardTries || !isFound {
+	if len(c.deniedShards) >= maxShardTries || !isFound || shard.service != "" {
 		shard, isFound = s.leastLoadedShard(now, up, c)
 		maxWait = max(s.waitDeadline(c).Sub(now), 1)
 	}
@@ -95,7 +118,7 @@
 	request := SlotRequest{
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
-		organisation: c.organisation,
+		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried,
 	}
 	if owner != "" {
 		s.emit(RequestSlot{owner, request})
@@ -108,7 +131,7 @@
 func (s *State) pickShard(now time.Time, up Upstreams, c *call) (Shard, bool) {
 	var shards []Shard
 	for _, t := range s.targets(up, c) {
-		if shard := shardOf(c.model, t.name); !slices.Contains(c.deniedShards, shard) {
+		if shard := s.shardFor(c, t.name); !slices.Contains(c.deniedShards, shard) && !slices.Contains(c.tried, t.name) {
 			shards = append(shards, shard)
 		}
 	}
@@ -126,7 +149,9 @@
 func (s *State) leastLoadedShard(now time.Time, up Upstreams, c *call) (Shard, bool) {
 	replicas := map[Shard]int{}
 	for _, t := range s.targets(up, c) {
-		replicas[shardOf(c.model, t.name)]++
+		if !slices.Contains(c.tried, t.name) {
+			replicas[s.shardFor(c, t.name)]++
+		}
 	}
 	var best Shard
 	lowest := 0.0
@@ -147,8 +172,13 @@
 
 // onTimeUntil returns the time until which a waiting call can still meet its latency goal.
 func (s *State) onTimeUntil(c *call) time.Time {
-	if c.isCallerRetry() {
+	switch {
+	case c.hasPartialAnswer:
+		return s.waitDeadline(c)
+	case c.isCallerRetry():
 		return c.arrived
+	case !s.isModelCall(c):
+		return c.arrived.Add(time.Duration(maxWaitGoalRatio * float64(c.route.LatencyGoal())))
 	}
 	engine, model := s.engineOf(c)
 	firstEvent := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, engine.Slots()))) +
@@ -190,7 +220,7 @@
 	}
 	s.releaseSlot(up, e)
 	if isLive {
-		s.handleSlotDenied(now, up, c, pending, e.status)
+		s.handleSlotDenied(now, up, c, pending, e)
 	}
 }
 
@@ -200,7 +230,7 @@
 		return
 	}
 	if shard, isListed := s.shardOfListed(up, e.upstream); isListed {
-		s.upstream(e.upstream).model = shard.model
+		s.upstream(e.upstream).shard = shard
 		s.unreported[e.upstream] = true
 	}
 }
@@ -217,6 +247,7 @@
 	u.recordLoad(now, NewLoad(e.calls-1, 0, t.slots)) // send counts the call itself
 	chosen := candidate{target: t, upstream: u, calls: float64(e.calls)}
 	chosen.cost = s.firstEventTime(c, chosen)
+	c.hasSlot = true
 	s.send(now, c, chosen, len(targets))
 	return true
 }
@@ -224,13 +255,15 @@
 // handleSlotDenied handles a call without a usable slot: it requests one in another shard, or refuses the call after
 // the last one. If the granted replica is not available or the owner lists no replica, it places the call without a
 // slot.
-func (s *State) handleSlotDenied(now time.Time, up Upstreams, c *call, pending *pendingSlot, status SlotStatus) {
+func (s *State) handleSlotDenied(now time.Time, up Upstreams, c *call, pending *pendingSlot, e SlotReply) {
 	c.deniedShards = append(c.deniedShards, pending.shard)
 	switch {
-	case status == SlotGranted, status == SlotNoReplicas:
+	case e.status == SlotGranted, e.status == SlotNoReplicas:
 		s.placeWithoutSlot(now, up, c)
 	case !pending.isLast:
 		s.requestSlot(now, up, c)
+	case e.retryAfter > 0:
+		s.giveUp(now, c, UpstreamLimit, e.retryAfter)
 	default:
 		s.giveUp(now, c, Overload, s.slotRetryAfter(now, c))
 	}
@@ -280,11 +313,11 @@
 	return slotRequestTimeout + slotRequestWaits*s.lag.Recent(now)
 }
 
-// markUnreported includes a replica in the next usage report.
-func (s *State) markUnreported(c *call, head string) {
-	if s.isModelCall(c) {
-		s.unreported[head] = true
-		s.upstream(head).model = c.model
+// markUnreported includes an upstream in the next usage report if its slots are granted.
+func (s *State) markUnreported(a *attempt, name string) {
+	if s.isModelCall(a.call) || a.hasSlot {
+		s.unreported[name] = true
+		s.upstream(name).shard = s.shardFor(a.call, name)
 	}
 }
 
@@ -294,10 +327,10 @@
 	usage := map[string]map[string]ReplicaUsage{}
 	for _, head := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[head]
-		if u.model == "" || u.running == 0 && !s.unreported[head] {
+		if u.shard == (Shard{}) || u.running == 0 && !s.unreported[head] {
 			continue
 		}
-		owner := up.Owner(shardOf(u.model, head))
+		owner := up.Owner(u.shard)
 		if !s.unreported[head] && u.reportedTo == owner {
 			continue
 		}
--- a/pkg/dispatch/grantrate.go
+++ b/pkg/dispatch/grantrate.go
@@ -23,6 +23,10 @@
 	return 0
 }
 
+// limitedUnderservedRatio is the fraction of an even share below which an organisation is underserved while all upstreams of a shard name
+// limits. The slots of low limits are so far apart that the calls of an organisation with few calls would all be late.
+const limitedUnderservedRatio = 0.9
+
 // isUnderserved reports whether an organisation gets far less than an even share of the slots. It is then not the cause
 // of the queue.
 func (t *slotTable) isUnderserved(now time.Time, organisation string) bool {
@@ -33,5 +37,9 @@
 			organisations++
 		}
 	}
-	return t.grantRate(now, organisation)*organisations < underservedRatio*total
+	ratio := underservedRatio
+	if t.isLimited {
+		ratio = limitedUnderservedRatio
+	}
+	return t.grantRate(now, organisation)*organisations < ratio*total
 }
--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -87,7 +87,10 @@
 }
 
 // capacity returns the maximum number of calls of a replica: its slots, or fewer if it is slow, since each further
-// call delays all of its calls.
-func (t *slotTable) capacity(now time.Time, r *replicaSlots, target Target) int {
+// call delays all of its calls. Some of the calls of a process of a plain service wait in its own queue.
+func (t *slotTable) capacity(now time.Time, r *replicaSlots, target Target, shard Shard) int {
+	if shard.service != "" {
+		return int(float64(target.slots) * maxCallsPerProcessSlot)
+	}
 	return max(int(float64(target.slots)/t.slowdown(now, r)), 1)
 }
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -1,9 +1,13 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// An upstream in need names in its answers the rate of requests that it accepts from all daemons together, for as long as it names
-// it.
+// An upstream in need names in its answers the rate of requests that it accepts from all daemons together, for as long as it names it.
+// The owner of its shard grants its slots at that rate. While an upstream names a limit, every send to it needs a slot, also
+// a retry and a call of a plain service, and a daemon whose slot request is not answered sends it nothing.
 
 // Limit is what an answer of an upstream says about the rate of requests that it accepts; the zero value says nothing.
 type Limit struct {
@@ -28,36 +32,232 @@
 
 // upstreamLimit is the limit of an upstream, as this daemon knows it.
 type upstreamLimit struct {
-	perSecond float64
-	learnedAt time.Time // when an answer or a peer last named it
+	perSecond  float64
+	learnedAt  time.Time // when an answer or a peer last named it
+	reportedAt time.Time // when this daemon last told it to the owner of the shard, or as the owner to all daemons
 }
 
+// The times of messages about limits.
+const (
+	limitReportInterval = 2 * time.Second  // in which an owner that has just started learns of the limits
+	limitShareInterval  = 20 * time.Second // a daemon that starts learns of the limits that were shared within the TTL
+	limitTTL            = time.Minute
+)
+
 // observeLimit records what an answer to an attempt says about the limit of its upstream. An answer without a limit ends the limit only if
 // its request was sent after the limit was last named: answers may overtake each other.
-func (s *State) observeLimit(now time.Time, a *attempt, l Limit) {
-	if known := s.limits[a.target()]; !l.isKnown || l.perSecond == 0 && !a.sentAt.After(known.learnedAt) {
+func (s *State) observeLimit(now time.Time, up Upstreams, a *attempt, l Limit) {
+	known := s.limits[a.target()]
+	if !l.isKnown || l.perSecond == 0 && (known.perSecond == 0 || !a.sentAt.After(known.learnedAt)) {
 		return
 	}
 	s.setLimit(now, a.target(), l.perSecond, answerSource)
+	s.publishLimit(now, up.Owner(s.shardFor(a.call, a.target())), a.target(), l.perSecond, known)
 }
 
 // answerSource is the source of a limit that an answer to this daemon named.
 const answerSource = "answer"
 
-// setLimit records the limit of an upstream, 0 for none, and reports whether it changed.
-func (s *State) setLimit(now time.Time, name string, perSecond float64, source string) bool {
-	before := s.limits[name].perSecond
-	if perSecond > 0 {
-		s.limits[name] = upstreamLimit{perSecond, now}
-	} else {
+// setLimit records the limit of an upstream, 0 for none.
+func (s *State) setLimit(now time.Time, name string, perSecond float64, source string) {
+	known := s.limits[name]
+	if perSecond != known.perSecond {
+		s.emit(LimitChanged{name, perSecond, source})
+	}
+	if perSecond == 0 {
 		delete(s.limits, name)
+		return
 	}
-	if perSecond != before {
-		s.emit(LimitChanged{name, perSecond, source})
+	s.limits[name] = upstreamLimit{perSecond, now, known.reportedAt}
+}
+
+// publishLimit tells the owner of an upstream's shard a limit that has begun, changed or ended since before, and repeats it from time to
+// time. The owner tells it to all daemons.
+func (s *State) publishLimit(now time.Time, owner, name string, perSecond float64, before upstreamLimit) {
+	interval := limitReportInterval
+	if owner == "" {
+		interval = limitShareInterval
+	}
+	isNew := (perSecond == 0) != (before.perSecond == 0)
+	if !isNew && now.Sub(before.reportedAt) < interval {
+		return
+	}
+	if limit, isKnown := s.limits[name]; isKnown {
+		limit.reportedAt = now
+		s.limits[name] = limit
+	}
+	if owner == "" {
+		s.emit(ShareLimit{name, perSecond, limitTTL})
+		return
 	}
-	return perSecond != before
+	s.emit(ReportLimit{owner, name, perSecond})
 }
 
+// handleLimitReported records the limit that another daemon knows. As the owner of the shard, this daemon tells it to the others.
+func (s *State) handleLimitReported(now time.Time, up Upstreams, e LimitReported) {
+	before := s.limits[e.upstream]
+	s.setLimit(now, e.upstream, e.perSecond, e.from)
+	if shard, isKnown := s.shardOfKnown(up, e.upstream); !e.isShared && (!isKnown || up.Owner(shard) == "") {
+		s.publishLimit(now, "", e.upstream, e.perSecond, before)
+	}
+}
+
+// hasLimited reports whether an upstream of a call names a limit.
+func (s *State) hasLimited(up Upstreams, c *call) bool {
+	return len(s.limits) > 0 && slices.ContainsFunc(s.targets(up, c), func(t Target) bool { return s.limits[t.name].perSecond > 0 })
+}
+
+// requestQueuedSlots requests slots for the queued calls that need one because of a limit.
+func (s *State) requestQueuedSlots(now time.Time, up Upstreams) {
+	for _, c := range slices.Clone(s.queue) {
+		if slices.Contains(s.queue, c) && s.mayRequestSlot(now, up, c) {
+			s.dequeue(c)
+			s.requestSlot(now, up, c)
+		}
+	}
+}
+
+// mayRequestSlot reports whether a queued call that needs a slot because of a limit can request one, since the owner of the shard is
+// responsive again.
+func (s *State) mayRequestSlot(now time.Time, up Upstreams, c *call) bool {
+	if !s.hasLimited(up, c) || !s.needsSlot(up, c) || !s.hasUntried(up, c) || s.throttledFor(now, up, c) > 0 {
+		return false
+	}
+	shard, isFound := s.leastLoadedShard(now, up, c)
+	return isFound && !now.Before(s.unresponsive[up.Owner(shard)])
+}
+
+// How many requests an unused limit accumulates: a number of them, and those of a time. Together with the requests of a window they stay
+// below what upstreams tolerate, also while a shard moves to another owner.
+const (
+	limitBurst     = 2
+	limitBurstTime = 250 * time.Millisecond
+)
+
+// refill adds the requests that a limit has allowed since the last time. A new owner starts without any, since the previous one may have
+// granted them.
+func (r *replicaSlots) refill(now time.Time, perSecond float64) {
+	switch {
+	case perSecond == 0:
+		r.tokens, r.refilledAt = 0, time.Time{}
+		return
+	case !r.refilledAt.IsZero():
+		accumulated := r.tokens + perSecond*now.Sub(r.refilledAt).Seconds()
+		r.tokens = min(accumulated, limitBurst+perSecond*limitBurstTime.Seconds())
+	}
+	r.refilledAt = now
+}
+
+// isAllowed reports whether the limit of an upstream allows another request now.
+func (r *replicaSlots) isAllowed() bool { return r.refilledAt.IsZero() || r.tokens >= 1 }
+
+// allowed returns how many of a number of requests the limit of an upstream allows now.
+func (r *replicaSlots) allowed(count int) int {
+	if r.refilledAt.IsZero() {
+		return count
+	}
+	return min(count, int(r.tokens))
+}
+
+func (r *replicaSlots) takeToken() {
+	if !r.refilledAt.IsZero() {
+		r.tokens--
+	}
+}
+
+// refreshLimits refills the limits of the upstreams of a shard.
+func (s *State) refreshLimits(now time.Time, up Upstreams, shard Shard) {
+	table := s.slotTable(shard)
+	members := s.members(up, shard)
+	table.isLimited = len(members) > 0
+	for _, t := range members {
+		perSecond := s.limits[t.name].perSecond
+		table.replica(t.name).refill(now, perSecond)
+		table.isLimited = table.isLimited && perSecond > 0
+	}
+}
+
+// expectedSlotWait returns the expected wait of a call behind those ahead of it.
+func (s *State) expectedSlotWait(now time.Time, up Upstreams, w slotWaiter) time.Duration {
+	table := s.slotTable(w.shard)
+	if !table.isLimited {
+		return table.expectedWait(now, w)
+	}
+	return s.limitedWait(up, w.shard, table.ahead(now, w))
+}
+
+// limitedWait returns the time until the limits of all upstreams of a shard have allowed a number of requests and one more.
+func (s *State) limitedWait(up Upstreams, shard Shard, ahead int) time.Duration {
+	table, members := s.slotTable(shard), s.members(up, shard)
+	granted := make([]int, len(members))
+	next := func(i int) float64 { // seconds until the next request to a member
+		replica := table.replica(members[i].name)
+		return max(float64(granted[i]+1)-replica.tokens, 0) / s.limits[members[i].name].perSecond
+	}
+	wait := 0.0
+	for range ahead + 1 {
+		earliest := 0
+		for i := range members {
+			if next(i) < next(earliest) {
+				earliest = i
+			}
+		}
+		wait = next(earliest)
+		granted[earliest]++
+	}
+	return time.Duration(wait * float64(time.Second))
+}
+
+// limitedRetryAfter returns when a call that is denied because of the limits of a shard may get a slot, 0 if they are not the reason. The
+// calls that were told to return get the times after each other. While an overload lasts, no slot is expected in the time that is left
+// to the caller.
+func (s *State) limitedRetryAfter(now time.Time, up Upstreams, request SlotRequest) time.Duration {
+	table := s.slotTable(request.shard)
+	if !table.isLimited {
+		return 0
+	}
+	perSecond := 0.0
+	for _, t := range s.members(up, request.shard) {
+		perSecond += s.limits[t.name].perSecond
+	}
+	first := now.Add(s.limitedWait(up, request.shard, len(table.waiters)))
+	due := later(first, table.limitedReturn.Add(time.Duration(float64(time.Second)/perSecond)))
+	wait := due.Sub(now)
+	switch {
+	case table.isOverloaded(now):
+		return max(wait, request.timeLeft)
+	case wait < request.timeLeft:
+		table.limitedReturn = due
+		table.returns = append(table.returns, due)
+	}
+	return wait
+}
+
+// returnSlack is how much later than told a denied call may return.
+const returnSlack = 500 * time.Millisecond
+
+// takeReturn reports whether a call that arrives is one of those that were told to return now.
+func (t *slotTable) takeReturn(now time.Time, request SlotRequest) bool {
+	for len(t.returns) > 0 && now.Sub(t.returns[0]) > returnSlack {
+		t.returns = t.returns[1:]
+	}
+	if request.onTimeWait > 0 || len(t.returns) == 0 || now.Before(t.returns[0]) {
+		return false
+	}
+	t.returns = t.returns[1:]
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// IsLimited reports whether an upstream names a limit.
+func (s *State) IsLimited(name string) bool { return s.limits[name].perSecond > 0 }
+
 // Limited returns the number of upstreams that name a limit.
 func (s *State) Limited() int { return len(s.limits) }
 
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -11,7 +11,7 @@
 // maxSends is the maximum number of sends of one request, including those that did not run.
 const maxSends = 4
 
-func (s *State) handleStarted(now time.Time, e Started) {
+func (s *State) handleStarted(now time.Time, up Upstreams, e Started) {
 	a := s.attempts[e.attempt]
 	if a == nil {
 		return
@@ -19,7 +19,7 @@
 	a.isStarted = true
 	a.call.hasPartialAnswer = true
 	a.upstream.recordLoad(now, e.load)
-	s.observeLimit(now, a, e.load.limit)
+	s.observeLimit(now, up, a, e.load.limit)
 }
 
 // handleFirstEvent records that the prefill of an attempt has ended.
@@ -44,7 +44,7 @@
 func (s *State) removeAttempt(now time.Time, a *attempt) {
 	delete(s.attempts, a.id)
 	a.upstream.end(now)
-	s.markUnreported(a.call, a.target())
+	s.markUnreported(a, a.target())
 	a.call.attempt = nil
 	if s.runningByOrganisation[a.call.organisation]--; s.runningByOrganisation[a.call.organisation] <= 0 {
 		delete(s.runningByOrganisation, a.call.organisation)
@@ -81,7 +81,7 @@
 		s.clearPendingPrefill(a)
 	}
 	s.removeAttempt(now, a)
-	s.recordFailure(now, a, e)
+	s.recordFailure(now, up, a, e)
 	c.hasErrorResponse = e.failure == Errored
 	if e.hasPartialAnswer {
 		c.hasPartialAnswer, c.lastEventID = true, e.lastEventID
@@ -100,9 +100,9 @@
 }
 
 // recordFailure updates the state of the upstream after a failure.
-func (s *State) recordFailure(now time.Time, a *attempt, e Failed) {
+func (s *State) recordFailure(now time.Time, up Upstreams, a *attempt, e Failed) {
 	a.upstream.recordLoad(now, e.load)
-	s.observeLimit(now, a, e.load.limit)
+	s.observeLimit(now, up, a, e.load.limit)
 	if e.faultyUpstream != "" {
 		s.emit(Suspect{e.faultyUpstream, "reported by another upstream"})
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -16,9 +16,10 @@
 	cost     time.Duration
 }
 
-// place finds an upstream for a call; a new call for a model needs a slot at a replica first.
+// place finds an upstream for a call; a new call for a model needs a slot at a replica first, and so does each send while an upstream
+// of the call names a limit.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
-	if s.needsSlot(c) && len(s.targets(up, c)) > 0 && s.throttledFor(now, up, c) == 0 {
+	if s.needsSlot(up, c) && s.hasUntried(up, c) && s.throttledFor(now, up, c) == 0 {
 		s.requestSlot(now, up, c)
 		return
 	}
@@ -46,6 +47,11 @@
 	}
 }
 
+// hasUntried reports whether a call has an upstream to which it was not sent yet.
+func (s *State) hasUntried(up Upstreams, c *call) bool {
+	return slices.ContainsFunc(s.targets(up, c), func(t Target) bool { return !slices.Contains(c.tried, t.name) })
+}
+
 // hasQueued reports whether other calls wait for the same upstreams; a new call must not overtake them.
 func (s *State) hasQueued(c *call) bool {
 	return slices.ContainsFunc(s.queue, func(other *call) bool { return other != c && other.queueKey() == c.queueKey() })
@@ -105,7 +111,7 @@
 func (s *State) evaluate(now time.Time, c *call, t Target) (candidate, bool) {
 	u := s.upstream(t.name)
 	result := candidate{target: t, upstream: u, calls: u.estimatedCalls(now)}
-	if !u.isAvailable(now) {
+	if !u.isAvailable(now) || s.limits[t.name].perSecond > 0 {
 		return result, false
 	}
 	if s.isModelCall(c) {
@@ -145,10 +151,12 @@
 	s.lastAttempt++
 	a := &attempt{
 		id: s.lastAttempt, call: c, upstream: best.upstream, sentAt: now, stallTimeout: s.stallTimeout(c, best.target),
+		hasSlot: c.hasSlot,
 	}
+	c.hasSlot = false
 	s.attempts[a.id] = a
 	best.upstream.begin(now, c.promptTokens)
-	s.markUnreported(c, best.target.name)
+	s.markUnreported(a, best.target.name)
 	s.runningByOrganisation[c.organisation]++
 	c.attempt = a
 	c.sends++
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -11,6 +11,8 @@
 	onTimeWait   time.Duration
 	maxWait      time.Duration
 	organisation string
+	timeLeft     time.Duration
+	tried        []string
 }
 
 // NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
@@ -32,6 +34,12 @@
 	return r
 }
 
+// WithHistory returns the request with the time left to the caller, and the upstreams to which the call was sent before.
+func (r SlotRequest) WithHistory(timeLeft time.Duration, tried ...string) SlotRequest {
+	r.timeLeft, r.tried = timeLeft, tried
+	return r
+}
+
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
@@ -52,3 +60,9 @@
 
 // Organisation returns the organisation of the call, empty on a public route.
 func (r SlotRequest) Organisation() string { return r.organisation }
+
+// TimeLeft returns the time left to the caller.
+func (r SlotRequest) TimeLeft() time.Duration { return r.timeLeft }
+
+// Tried returns the upstreams to which the call was sent before.
+func (r SlotRequest) Tried() []string { return r.tried }
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -24,6 +24,10 @@
 	balancedAt  time.Time        // when the granted slots last sufficed for the offered calls
 	offeredRate rate             // of calls that could meet their goal when they requested a slot
 
+	isLimited     bool        // all upstreams of the shard name limits
+	limitedReturn time.Time   // the latest time at which a denied call was told to return
+	returns       []time.Time // the times at which denied calls were told to return, in order
+
 	policy    policy
 	lastSlack time.Time // when slots last sufficed for calls that can no longer meet their goal
 }
@@ -36,6 +40,8 @@
 	slowdown             float64                // average of observed over expected time to the first event, 0 if unknown
 	isProbing            bool                   // the next report replaces the slowdown
 	slowdownAt           time.Time              // time of the last reported slowdown or granted probe
+	tokens               float64                // requests that the limit of the upstream allows now
+	refilledAt           time.Time              // time of that count, zero while there is no limit
 }
 
 // daemonCalls is the number of calls of one daemon at a replica.
@@ -47,8 +53,9 @@
 // slotWaiter is a slot request that waits, with the daemon that sent it.
 type slotWaiter struct {
 	SlotRequest
-	daemon   string
-	queuedAt time.Time
+	daemon     string
+	queuedAt   time.Time
+	isExpected bool // the call was denied before and told to return now
 }
 
 func (s *State) slotTable(shard Shard) *slotTable {
@@ -98,12 +105,14 @@
 // decideSlotRequest grants a slot, queues the request or denies it.
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
-	waiter := slotWaiter{request, daemon, now}
+	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
 	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: len(table.waiters) + 1}
 	if !s.hasReplicas(up, request.shard) {
 		reply.status = SlotNoReplicas
 		return reply
 	}
+	s.refreshLimits(now, up, request.shard)
+	waiter.isExpected = table.takeReturn(now, request)
 	if len(table.waiters) == 0 {
 		table.lastSlack = now
 		if target, isFree := s.bestReplica(now, up, request); isFree {
@@ -116,75 +125,15 @@
 	}
 	table.countOffer(now, waiter)
 	if len(table.waiters) < maxSlotWaiters && !table.isUnservable(now, waiter) &&
-		table.expectedWait(now, waiter) <= table.longestWait(now, waiter) {
+		s.expectedSlotWait(now, up, waiter) <= table.longestWait(now, waiter) {
 		table.waiters = append(table.waiters, waiter)
 		reply.status = SlotQueued
+		return reply
 	}
+	reply.retryAfter = s.limitedRetryAfter(now, up, request)
 	return reply
 }
 
-// bestReplica returns the replica of a shard with a free slot and the shortest expected time to the first event.
-func (s *State) bestReplica(now time.Time, up Upstreams, request SlotRequest) (Target, bool) {
-	service, _ := s.config.EngineService()
-	engine := service.Engine()
-	model, _ := engine.Model(request.shard.model)
-	table := s.slotTable(request.shard)
-	var best Target
-	var least time.Duration
-	isFound := false
-	for _, t := range up.Replicas(request.shard.model) {
-		if shardOf(request.shard.model, t.name) != request.shard {
-			continue
-		}
-		replica := table.replica(t.name)
-		replica.deductPrefilled(now, prefillRatio/max(engine.Read(model, 1).Seconds()*t.slowdown, 1e-9))
-		replica.dropExpired(now)
-		calls := replica.calls()
-		if calls >= table.capacity(now, replica, t) || now.Before(s.upstream(t.name).avoidUntil) {
-			continue
-		}
-		cost := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, calls+1))) +
-			engine.Read(model, int(replica.pendingPrefillTokens)+request.promptTokens)
-		cost = time.Duration(float64(cost) * t.slowdown * table.slowdown(now, replica))
-		if !isFound || cost < least {
-			best, least, isFound = t, cost, true
-		}
-	}
-	return best, isFound
-}
-
-// grantSlot grants a slot at a replica and counts its call.
-func (s *State) grantSlot(now time.Time, up Upstreams, table *slotTable, w slotWaiter, target Target) SlotReply {
-	replica := table.replica(target.name)
-	replica.daemons[w.daemon] = daemonCalls{replica.daemons[w.daemon].calls + 1, now}
-	replica.pendingPrefillTokens += float64(w.promptTokens)
-	replica.startProbe(now)
-	table.grantedRate.add(now)
-	table.countGrant(now, w.organisation)
-	return SlotReply{
-		requestID: w.requestID, status: SlotGranted,
-		upstream: target.name, calls: replica.calls(),
-		excess: len(table.waiters) - s.freeSlots(now, up, w.shard),
-	}
-}
-
-// freeSlots returns the number of free slots in a shard, without those at slow replicas.
-func (s *State) freeSlots(now time.Time, up Upstreams, shard Shard) int {
-	table := s.slotTable(shard)
-	free := 0
-	for _, t := range up.Replicas(shard.model) {
-		if shardOf(shard.model, t.name) == shard && table.slowdown(now, table.replica(t.name)) == 1 {
-			free += max(table.capacity(now, table.replica(t.name), t)-table.replica(t.name).calls(), 0)
-		}
-	}
-	return free
-}
-
-// hasReplicas reports whether a replica of a shard is listed here.
-func (s *State) hasReplicas(up Upstreams, shard Shard) bool {
-	return slices.ContainsFunc(up.Replicas(shard.model), func(t Target) bool { return shardOf(shard.model, t.name) == shard })
-}
-
 // slackWindow is how long late calls may still queue after slots last sufficed for one. About fifty slots of a shard
 // become free in that time.
 const slackWindow = time.Second
@@ -192,35 +141,41 @@
 // isUnservable reports whether a call can no longer meet its goal and all slots go to calls that can. A call of an
 // underserved organisation is never unservable.
 func (t *slotTable) isUnservable(now time.Time, w slotWaiter) bool {
-	return !t.isUnderserved(now, w.organisation) && w.isLate(now) &&
+	return !w.isExpected && !t.isUnderserved(now, w.organisation) && w.isLate(now) &&
 		(now.Sub(t.lastSlack) > slackWindow || t.isOverloaded(now))
 }
 
 // expectedWait returns the expected wait of a call behind those ahead of it, at the rate at which slots become free.
 func (t *slotTable) expectedWait(now time.Time, w slotWaiter) time.Duration {
+	perSecond := t.releaseRate.perSecond(now)
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(t.ahead(now, w)) / perSecond * float64(time.Second))
+}
+
+// ahead returns the number of calls that wait ahead of one that arrives.
+func (t *slotTable) ahead(now time.Time, w slotWaiter) int {
 	ahead := 0
 	for _, other := range t.waiters {
-		if t.compare(now, other, w) < 0 {
+		if t.compare(now, other, w) <= 0 {
 			ahead++
 		}
 	}
-	perSecond := t.releaseRate.perSecond(now)
-	if perSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	return ahead
 }
 
-// compare orders waiting requests: first those of underserved organisations, then those that can still meet their
+// compare orders waiting requests: first those that were told to return now, then those of underserved organisations, then those that can still meet their
 // latency goal, those of a more urgent priority, those of organisations with fewer slots granted recently, and the
 // older ones. While the overload of the shard lasts, the younger ones come first: in order of arrival, all would wait until
 // they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
 	byAge := a.queuedAt.Compare(b.queuedAt)
-	if t.isOverloaded(now) && isYoungestFirst(t.policy) {
+	if t.isOverloaded(now) && isYoungestFirst(t.policy) && !t.isLimited {
 		byAge = -byAge
 	}
 	return cmp.Or(
+		cmp.Compare(boolToInt(b.isExpected), boolToInt(a.isExpected)),
 		cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation))),
 		cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now))),
 		cmp.Compare(a.priority, b.priority),
@@ -235,6 +190,7 @@
 func (s *State) serveWaiters(now time.Time, up Upstreams, shard Shard) {
 	table := s.slotTable(shard)
 	table.waiters = slices.DeleteFunc(table.waiters, func(w slotWaiter) bool { return now.Sub(w.queuedAt) >= w.maxWait })
+	s.refreshLimits(now, up, shard)
 	s.denyUnservable(now, up, table)
 	for len(table.waiters) > 0 {
 		best := slices.MinFunc(table.waiters, func(a, b slotWaiter) int { return table.compare(now, a, b) })
@@ -320,6 +276,11 @@
 			}
 		}
 	}
+	for shard := range s.slotTables {
+		if shard.service != "" && slices.ContainsFunc(up.Processes(shard.service), func(t Target) bool { return t.name == head }) {
+			return shard, true
+		}
+	}
 	return Shard{}, false
 }
 
@@ -354,7 +315,7 @@
 
 func sortedShards(set map[Shard]int) []Shard {
 	return slices.SortedFunc(maps.Keys(set), func(a, b Shard) int {
-		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.number, b.number))
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.number, b.number))
 	})
 }
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -89,7 +89,7 @@
 	case Arrived:
 		s.handleArrived(now, up, e.request)
 	case Started:
-		s.handleStarted(now, e)
+		s.handleStarted(now, up, e)
 	case FirstEventReceived:
 		s.handleFirstEvent(now, e.attempt)
 	case StreamStalled:
@@ -100,6 +100,8 @@
 		s.handleFailed(now, up, e)
 	case Throttled:
 		s.handleThrottled(now, e)
+	case LimitReported:
+		s.handleLimitReported(now, up, e)
 	case SlotReply:
 		s.handleSlotReply(now, up, e)
 	case PeersChanged:
@@ -174,6 +176,7 @@
 	}
 	s.judgeParts(now)
 	s.checkPendingSlots(now, up)
+	s.requestQueuedSlots(now, up)
 	s.serveQueue(now, up)
 	s.reportUsage(now, up)
 	s.serveAllWaiters(now, up)
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -73,7 +73,7 @@
 // upstream is the local state of one upstream.
 type upstream struct {
 	running              int
-	model                string    // of the replica whose head it is
+	shard                Shard     // whose owner gets usage reports, zero for none
 	reportedTo           string    // the shard owner that got the last usage report
 	pendingPrefillTokens int       // prompt tokens sent, without a first event yet
 	load                 Load      // last reported load
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -61,7 +61,7 @@
 		s.receiveListMessage(now, message)
 	case demandTopic:
 		s.receiveDemand(now, message)
-	case slotRequestTopic, slotReplyTopic, usageTopic, crashTopic:
+	case slotRequestTopic, slotReplyTopic, usageTopic, crashTopic, limitTopic:
 		s.receiveSlotMessage(now, message)
 	case partCrashTopic, partAnsweredTopic, partsAskedTopic, partMarkTopic:
 		s.receivePartMessage(now, message.Topic(), message.From(), message.Data())
@@ -85,6 +85,8 @@
 		s.receivePartFact(now, fact)
 	case leavingTopic:
 		s.receiveLeaving(now, fact)
+	case limitTopic:
+		s.receiveLimit(now, fact)
 	}
 }
 
@@ -144,6 +146,8 @@
 	switch effect := effect.(type) {
 	case dispatch.PauseProbes:
 		s.reduceReplica(now, replica.NewProbesPaused(replica.ID(effect.Upstream()), effect.Until()))
+	case dispatch.ShareLimit:
+		s.shareLimit(now, effect)
 	case dispatch.Suspect:
 		s.suspect(now, replica.ID(effect.Upstream()))
 	default:
@@ -158,6 +162,8 @@
 		members = []replica.ID{id}
 	}
 	for _, member := range members {
-		s.reduceReplica(now, replica.NewSuspected(member))
+		if s.maySuspect(now, member) {
+			s.reduceReplica(now, replica.NewSuspected(member))
+		}
 	}
 }
--- a/pkg/gateway/listmessage.go
+++ b/pkg/gateway/listmessage.go
@@ -120,6 +120,15 @@
 	return n
 }
 
+func (f *decodedFields) float() float64 {
+	if f.err != nil {
+		return 0
+	}
+	n, err := f.decoder.DecodeFloat64()
+	f.setError(err)
+	return n
+}
+
 func (f *decodedFields) text() string {
 	if f.err != nil {
 		return ""
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -28,8 +28,8 @@
 
 // The lengths of the encoded arrays, and the limit of the array with one element for each replica.
 const (
-	slotRequestFields = 8
-	slotReplyFields   = 5
+	slotRequestFields = 11
+	slotReplyFields   = 6
 	crashFields       = 2
 	usageFields       = 3
 	maxUsageEntries   = 1024
@@ -132,6 +132,8 @@
 	case dispatch.MarkPoison:
 		s.markPoison(now, effect)
 		return true
+	case dispatch.ReportLimit:
+		to, topic, values = effect.Owner(), limitTopic, []any{effect.Upstream(), effect.PerSecond()}
 	default:
 		return false
 	}
@@ -147,12 +149,13 @@
 func slotRequestValues(r dispatch.SlotRequest) []any {
 	return []any{
 		r.RequestID(), r.Shard().Model(), r.Shard().Number(), r.PromptTokens(), r.Priority(),
-		r.OnTimeWait().Milliseconds(), r.MaxWait().Milliseconds(), r.Organisation(),
+		r.OnTimeWait().Milliseconds(), r.MaxWait().Milliseconds(), r.Organisation(), r.Shard().Service(),
+		r.TimeLeft().Milliseconds(), r.Tried(),
 	}
 }
 
 func slotReplyValues(r dispatch.SlotReply) []any {
-	return []any{r.RequestID(), uint8(r.Status()), r.Upstream(), r.Calls(), r.Excess()}
+	return []any{r.RequestID(), uint8(r.Status()), r.Upstream(), r.Calls(), r.Excess(), r.RetryAfter().Milliseconds()}
 }
 
 // slowdownScale is the factor by which a slowdown is multiplied in messages, where it is an integer.
@@ -193,6 +196,8 @@
 		return f.slotReply(), f.err
 	case usageTopic:
 		return dispatch.NewUsageReported(from, f.usage()), f.err
+	case limitTopic:
+		return f.limit(from), f.err
 	default:
 		return f.crash(), f.err
 	}
@@ -232,11 +237,23 @@
 		f.setError(trace.BadParameter("slot request of %d fields", n))
 	}
 	id, model, number := f.number(), f.text(), f.number()
-	request := dispatch.NewSlotRequest(id, dispatch.NewShard(model, number), int(f.signed()))
-	request = request.WithUrgency(int(f.signed()), f.milliseconds(), f.milliseconds())
-	return request.WithOrganisation(f.text())
+	prompt, priority, onTimeWait, maxWait := int(f.signed()), int(f.signed()), f.milliseconds(), f.milliseconds()
+	organisation, shard := f.text(), dispatch.NewShard(model, number)
+	if service := f.text(); service != "" {
+		shard = dispatch.NewServiceShard(service)
+	}
+	request := dispatch.NewSlotRequest(id, shard, prompt).WithUrgency(priority, onTimeWait, maxWait).WithOrganisation(organisation)
+	timeLeft := f.milliseconds()
+	var tried []string
+	for range f.length(maxTried) {
+		tried = append(tried, f.text())
+	}
+	return request.WithHistory(timeLeft, tried...)
 }
 
+// maxTried limits the upstreams that a slot request names, which are as many as a call is sent to.
+const maxTried = 16
+
 func (f *decodedFields) milliseconds() time.Duration {
 	return time.Duration(f.signed()) * time.Millisecond
 }
@@ -250,7 +267,8 @@
 		f.setError(trace.BadParameter("slot status %d", status))
 	}
 	calls := int(f.signed())
-	return dispatch.NewSlotReply(requestID, status, int(f.signed())).WithSlot(upstream, calls)
+	reply := dispatch.NewSlotReply(requestID, status, int(f.signed())).WithSlot(upstream, calls)
+	return reply.WithRetryAfter(f.milliseconds())
 }
 
 func (f *decodedFields) usage() map[string]dispatch.ReplicaUsage {
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -53,6 +53,7 @@
 	lag              clock.Lag
 	nextTick         time.Time // when the next tick is due, zero before the first
 	ownerByShard     map[dispatch.Shard]string
+	suspectedAt      map[replica.ID]time.Time // last suspicion of the upstreams that name a limit
 	effects          []Effect
 }
 
@@ -107,6 +108,7 @@
 	s.listSync = newListSync(now)
 	s.demandByDaemon = map[string]daemonDemand{}
 	s.ownerByShard = map[dispatch.Shard]string{}
+	s.suspectedAt = map[replica.ID]time.Time{}
 	s.random = rand.New(rand.NewPCG(settings.seed, randomStream))
 	s.replica = replica.New(
 		replica.NewSettings(settings.recordKey, settings.name+"/"+settings.incarnation, settings.seed).
