gateway: Ignore the lists of other readers at a reader of the list

The log: edge-attica-b-2 became a reader at -8.38 s and listed 16 upstreams at -8.37 s, two fewer than the others; edge-attica-b-1 got its list from it. Both knew i-8133e77c05 only ('upstreams=1').

Cause: a complete list that the daemon had requested from its former source before it became a reader arrived after its own list and was older. The entries that it lacked were removed after a second, and the own watch delivers changes only, so they stayed unknown to the reader and its subscribers.

Fix: a reader ignores the updates of other readers. TestReaderLosesEntriesToOlderList failed before (1 of 3 entries left).

--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -229,6 +229,9 @@
 // one. Updates cross the replies to requests, so one may repeat changes that were applied already.
 func (s *State) applyListUpdate(now time.Time, update listMessage) {
 	sync := &s.listSync
+	if s.members.isReader {
+		return // a late reply to a request from before this daemon became a reader
+	}
 	isSameStart := update.readerStart == sync.sourceStart
 	if !update.complete && (!isSameStart || update.fromRevision > sync.sourceRevision) {
 		sync.requestedAt = now
--- a/pkg/gateway/sync_test.go
+++ b/pkg/gateway/sync_test.go
@@ -113,3 +113,21 @@
 		So(s.listing.entries, ShouldContainKey, replica.ID("new"))
 	})
 }
+
+func TestReaderLosesEntriesToOlderList(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	Convey("A reader keeps the entries that it has read, though the complete list of its former source arrives later and lacks them", t, func() {
+		var s State
+		s.start(now, NewSettings("reader", "c0", "1", 1))
+		s.listSync.source = "former"
+		s.members.isReader = true
+		s.watchUpstreams(readerWatchInterval)
+		s.applyList(now, NewListed([]Upstream{entry("a"), entry("b")}))
+		s.applyList(now, NewListChanges([]Upstream{entry("c")}, nil))
+		s.applyListUpdate(now, listMessage{readerStart: 7, toRevision: 1, complete: true, changed: []Upstream{entry("a")}})
+		for step := range 5 {
+			s.tick(now.Add(time.Duration(step) * time.Second))
+		}
+		So(len(s.listing.entries), ShouldEqual, 3)
+	})
+}
