--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -52,7 +52,16 @@
 		return
 	}
 	s.setLimit(now, a.target(), l.perSecond, answerSource)
-	s.publishLimit(now, up.Owner(s.shardFor(a.call, a.target())), a.target(), l.perSecond, known)
+	shard := s.shardFor(a.call, a.target())
+	s.startLimit(now, up, shard)
+	s.publishLimit(now, up.Owner(shard), a.target(), l.perSecond, known)
+}
+
+// startLimit lets the limits of a shard that this daemon owns accumulate from now on, and not from the first slot request on.
+func (s *State) startLimit(now time.Time, up Upstreams, shard Shard) {
+	if up.Owner(shard) == "" {
+		s.refreshLimits(now, up, shard)
+	}
 }
 
 // answerSource is the source of a limit that an answer to this daemon named.
@@ -74,12 +83,12 @@
 // publishLimit tells the owner of an upstream's shard a limit that has begun, changed or ended since before, and repeats it from time to
 // time. The owner tells it to all daemons.
 func (s *State) publishLimit(now time.Time, owner, name string, perSecond float64, before upstreamLimit) {
-	interval := limitReportInterval
-	if owner == "" {
-		interval = limitShareInterval
+	isUrgent, interval := perSecond < before.perSecond, limitReportInterval
+	if owner == "" { // the others need to know only whether there is a limit
+		isUrgent, interval = false, limitShareInterval
 	}
 	isNew := (perSecond == 0) != (before.perSecond == 0)
-	if !isNew && now.Sub(before.reportedAt) < interval {
+	if !isNew && !isUrgent && now.Sub(before.reportedAt) < interval {
 		return
 	}
 	if limit, isKnown := s.limits[name]; isKnown {
@@ -97,7 +106,11 @@
 func (s *State) handleLimitReported(now time.Time, up Upstreams, e LimitReported) {
 	before := s.limits[e.upstream]
 	s.setLimit(now, e.upstream, e.perSecond, e.from)
-	if shard, isKnown := s.shardOfKnown(up, e.upstream); !e.isShared && (!isKnown || up.Owner(shard) == "") {
+	shard, isKnown := s.shardOfKnown(up, e.upstream)
+	if isKnown {
+		s.startLimit(now, up, shard)
+	}
+	if !e.isShared && (!isKnown || up.Owner(shard) == "") {
 		s.publishLimit(now, "", e.upstream, e.perSecond, before)
 	}
 }
@@ -168,12 +181,16 @@
 // refreshLimits refills the limits of the upstreams of a shard.
 func (s *State) refreshLimits(now time.Time, up Upstreams, shard Shard) {
 	table := s.slotTable(shard)
+	if len(s.limits) == 0 && !table.hasLimits {
+		return
+	}
 	members := s.members(up, shard)
-	table.isLimited = len(members) > 0
+	table.isLimited, table.hasLimits = len(members) > 0, false
 	for _, t := range members {
 		perSecond := s.limits[t.name].perSecond
 		table.replica(t.name).refill(now, perSecond)
 		table.isLimited = table.isLimited && perSecond > 0
+		table.hasLimits = table.hasLimits || perSecond > 0
 	}
 }
 
--- a/pkg/dispatch/limit_use_test.go
+++ b/pkg/dispatch/limit_use_test.go
@@ -50,8 +50,8 @@
 			cl.path = path
 
 			Convey("a call that the limit does not allow in time is refused at once, and one that returns when it is told is served", func() {
-				for i := range 8 {
-					cl.arrive(i, callTimeout)
+				for i := range 12 {
+					cl.arrive(i%8, callTimeout)
 				}
 				cl.run(100 * time.Millisecond)
 				var returns []time.Duration
@@ -111,6 +111,28 @@
 	}
 }
 
+func TestLimitLowered(t *testing.T) {
+	Convey("A lower limit is reported to the owner of the shard at once, a higher one only from time to time", t, func() {
+		cl := newLimitedCluster(8)
+		cl.arrive(2, callTimeout) // the owner is daemon 1
+		cl.run(100 * time.Millisecond)
+		So(cl.calls[0].firstEvent, ShouldBeGreaterThan, time.Duration(0))
+		countReports := func(perSecond float64) int {
+			reports := 0
+			started := NewStarted(cl.calls[0].attempt, Load{}.WithLimit(NewLimit(perSecond)))
+			for _, effect := range cl.daemons[2].Reduce(cl.now, daemonView{cl, 2}, started) {
+				if _, isReport := effect.(ReportLimit); isReport {
+					reports++
+				}
+			}
+			return reports
+		}
+		So(countReports(9), ShouldEqual, 0)
+		So(countReports(2), ShouldEqual, 1)
+		So(countReports(2), ShouldEqual, 0)
+	})
+}
+
 func TestLimitEnds(t *testing.T) {
 	Convey("Given an upstream that names a limit until a moment", t, func() {
 		cl := newLimitedCluster(1)
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -25,6 +25,7 @@
 	offeredRate rate             // of calls that could meet their goal when they requested a slot
 
 	isLimited     bool        // all upstreams of the shard name limits
+	hasLimits     bool        // one of them does
 	limitedReturn time.Time   // the latest time at which a denied call was told to return
 	returns       []time.Time // the times at which denied calls were told to return, in order
 
