peer: Apply later versions of peers at a daemon that resumes

Callers saw: refused as an older version says, although a newer one had been acknowledged more than config-apply-ms before, at a daemon that had been frozen or suspended while the store rejected it.

Cause: after a freeze the documents count as unconfirmed until the store answers, or until enough peers have answered and the spread time has passed (3 s, 12 s with 300 daemons). Until then documents were kept as candidates only, also those with a higher revision than the one in force.

Fix: only a daemon without a document in force keeps candidates; a higher revision is never a step back. A newly started daemon waits as before. TestVersionHeldBackAfterFreeze failed before, in fleets of 7 and 30.

--- a/pkg/peer/spread.go
+++ b/pkg/peer/spread.go
@@ -22,11 +22,11 @@
 	s.offerDocument(StoreSource, d)
 }
 
-// offerDocument adopts a document of source if its revision is higher than the one in force. While the latest revision is not
-// confirmed, it only keeps the document as a candidate.
+// offerDocument adopts a document of source if its revision is higher than the one in force. A daemon that has none in force yet keeps
+// it as a candidate until the latest revision is confirmed: it may have had a later one before its start.
 func (s *State) offerDocument(source string, d Document) {
 	t := s.trackedDocument(d.name)
-	if t != nil && !t.confirmed {
+	if t != nil && !t.confirmed && s.documents[d.name].revision == 0 {
 		if d.revision > t.candidate.revision {
 			t.candidate, t.candidateSource = d, source
 		}
