--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -373,10 +373,16 @@
 	})
 }
 
-// freeze suspends a daemon, which receives nothing meanwhile.
+// freeze suspends a daemon, which receives nothing meanwhile. When it resumes, it reads what the store has answered to its watch of the
+// list.
 func (f *fleet) freeze(d *fleetDaemon, duration time.Duration) {
 	d.down = true
-	f.after(duration, func() { d.down, d.disturbedAt = false, f.now })
+	f.after(duration, func() {
+		d.down, d.disturbedAt = false, f.now
+		if d.watching && !d.listSilent {
+			f.readList(d, fleetTick)
+		}
+	})
 }
 
 func (f *fleet) callStore(d *fleetDaemon, effect Store) {
