dispatch: Keep the place of a call that returns until it waits for a slot

Found on reading the diff: a call that returns when it was told used up its place with its first request, which does not wait, and was late for the second one. Limits of upstreams that left the list end with a log line. One accessor that nothing read is gone.

--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -27,9 +28,6 @@
 // PerSecond returns the rate in requests per second, 0 for no limit.
 func (l Limit) PerSecond() float64 { return l.perSecond }
 
-// IsKnown reports whether the answer says whether there is a limit.
-func (l Limit) IsKnown() bool { return l.isKnown }
-
 // upstreamLimit is the limit of an upstream, as this daemon knows it.
 type upstreamLimit struct {
 	perSecond  float64
@@ -64,8 +62,11 @@
 	}
 }
 
-// answerSource is the source of a limit that an answer to this daemon named.
-const answerSource = "answer"
+// The sources of the limits that no peer reported.
+const (
+	answerSource = "answer" // to this daemon
+	listSource   = "list"   // no longer has the upstream
+)
 
 // setLimit records the limit of an upstream, 0 for none.
 func (s *State) setLimit(now time.Time, name string, perSecond float64, source string) {
@@ -253,12 +254,12 @@
 // returnSlack is how much later than told a denied call may return.
 const returnSlack = 500 * time.Millisecond
 
-// takeReturn reports whether a call that arrives is one of those that were told to return now.
+// takeReturn reports whether a call that waits for a slot is one of those that were told to return now.
 func (t *slotTable) takeReturn(now time.Time, request SlotRequest) bool {
 	for len(t.returns) > 0 && now.Sub(t.returns[0]) > returnSlack {
 		t.returns = t.returns[1:]
 	}
-	if request.onTimeWait > 0 || len(t.returns) == 0 || now.Before(t.returns[0]) {
+	if request.maxWait == 0 || request.onTimeWait > 0 || len(t.returns) == 0 || now.Before(t.returns[0]) {
 		return false
 	}
 	t.returns = t.returns[1:]
@@ -279,7 +280,7 @@
 func (s *State) Limited() int { return len(s.limits) }
 
 // forgetLimits removes the limits of upstreams that are no longer listed.
-func (s *State) forgetLimits(up Upstreams) {
+func (s *State) forgetLimits(now time.Time, up Upstreams) {
 	if len(s.limits) == 0 {
 		return
 	}
@@ -289,9 +290,9 @@
 			listed[t.name] = true
 		}
 	}
-	for name := range s.limits {
+	for _, name := range slices.Sorted(maps.Keys(s.limits)) {
 		if !listed[name] {
-			delete(s.limits, name)
+			s.setLimit(now, name, 0, listSource)
 		}
 	}
 }
--- a/pkg/dispatch/limitmessage.go
+++ b/pkg/dispatch/limitmessage.go
@@ -68,7 +68,7 @@
 // PerSecond returns the rate in requests per second, 0 for no limit any more.
 func (l LimitChanged) PerSecond() float64 { return l.perSecond }
 
-// Source returns the daemon that reported it, or "answer" if an answer to this daemon named it.
+// Source returns the daemon that reported it, "answer" if an answer to this daemon named it, or "list" if the upstream is no longer listed.
 func (l LimitChanged) Source() string { return l.source }
 
 func (LimitReported) isEvent() {}
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -166,10 +166,10 @@
 	return ahead
 }
 
-// compare orders waiting requests: first those that were told to return now, then those of underserved organisations, then those that can still meet their
-// latency goal, those of a more urgent priority, those of organisations with fewer slots granted recently, and the
-// older ones. While the overload of the shard lasts, the younger ones come first: in order of arrival, all would wait until
-// they can just no longer meet their goal.
+// compare orders waiting requests: first those that were told to return now, then those of underserved organisations,
+// those that can still meet their latency goal, those of a more urgent priority, those of organisations with fewer slots
+// granted recently, and the older ones. While the overload of the shard lasts, the younger ones come first: in order of
+// arrival, all would wait until they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
 	byAge := a.queuedAt.Compare(b.queuedAt)
 	if t.isOverloaded(now) && isYoungestFirst(t.policy) && !t.isLimited {
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -186,7 +186,7 @@
 		s.forgetReplicas(up)
 		s.forgetCrashes(now)
 		s.forgetParts(now)
-		s.forgetLimits(up)
+		s.forgetLimits(now, up)
 	}
 }
 
