--- a/pkg/dispatch/limit_use_test.go
+++ b/pkg/dispatch/limit_use_test.go
@@ -144,9 +144,8 @@
 
 		Convey("its calls are served without a limit within seconds of that", func() {
 			cl.run(3 * time.Second)
-			for daemon, s := range cl.daemons {
+			for _, s := range cl.daemons {
 				So(s.IsLimited("h0"), ShouldBeFalse)
-				So(daemon, ShouldBeGreaterThanOrEqualTo, 0)
 			}
 			before := len(cl.calls)
 			cl.run(10 * time.Second)
@@ -167,7 +166,7 @@
 }
 
 func TestLimitWithoutOwner(t *testing.T) {
-	Convey("A daemon whose slot requests are not answered sends nothing to an upstream that names a limit, and serves its calls once they are", t, func() {
+	Convey("Without replies to its slot requests a daemon sends nothing to an upstream that names a limit, and serves calls after them", t, func() {
 		cl := newLimitedCluster(2)
 		cl.dropsMessages = true
 		before := len(cl.limited["h0"].arrivals)
--- a/pkg/gateway/config_faults_test.go
+++ b/pkg/gateway/config_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -59,7 +60,7 @@
 	for _, d := range f.daemons {
 		d.disturbedAt = f.now.Add(time.Second)
 		for _, w := range d.watches {
-			w.since = f.revision + 1000
+			w.since = math.MaxInt // changes are not delivered
 			f.after(time.Second, func() {
 				if f.isWatching(w) && !w.silent {
 					f.listWatched(w)
@@ -174,7 +175,7 @@
 }
 
 func TestVersionsUnderFaults(t *testing.T) {
-	Convey("Versions and new services are in force in time beside cuts, a store that rejects daemons, silent connections, slow daemons and dropped history", t, func() {
+	Convey("Versions and new services are in force in time while daemons are cut, rejected by the store, slow, frozen and restarted", t, func() {
 		for seed := range *configSeeds {
 			size := smallFleet()
 			if seed%4 == 3 {
