--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -7,7 +7,8 @@
 
 // The choice of the upstream of a shard that gets the next call.
 
-// bestReplica returns the replica of a shard with a free slot and the shortest expected time to the first event.
+// bestReplica returns the replica of a shard with a free slot, within its limit, and the shortest expected time to the first event. In the
+// shard of a plain service it returns the process with the fewest calls.
 func (s *State) bestReplica(now time.Time, up Upstreams, request SlotRequest) (Target, bool) {
 	table := s.slotTable(request.shard)
 	var best Target
@@ -85,7 +86,7 @@
 	return free
 }
 
-// hasReplicas reports whether a replica of a shard is listed here.
+// hasReplicas reports whether a replica or process of a shard is listed here.
 func (s *State) hasReplicas(up Upstreams, shard Shard) bool {
 	return len(s.members(up, shard)) > 0
 }
