gateway: Reproduce RECOVER with daemons that lost their paths to engines

The simulated fleet cuts the paths between daemons and engines: new connections are refused, or nothing is delivered, to all engines or to 0.4 of them, at the leader and at others, 0.3 of all daemons.

--- a/pkg/gateway/fleet_calls_test.go
+++ b/pkg/gateway/fleet_calls_test.go
@@ -21,7 +21,7 @@
 
 // arrive sends a new call to a daemon.
 func (f *fleet) arrive(d *fleetDaemon) {
-	call := &fleetCall{arrived: f.now, model: "small"}
+	call := &fleetCall{arrived: f.now, model: "small", firstDaemon: d}
 	if f.random.Float64() < 0.24 {
 		call.model = "large"
 	}
@@ -96,11 +96,16 @@
 
 // fleetAttempt is an attempt that runs at an engine.
 type fleetAttempt struct {
+	daemon  *fleetDaemon
 	engine  *fleetEngine
 	call    *fleetCall
 	id      dispatch.AttemptID
 	started bool // the first event was received
 	ended   bool
+	hung    bool // its connection delivers nothing
+
+	engineDone   bool // the engine has ended the call, or never got it
+	stallTimeout time.Duration
 }
 
 func attemptKey(d *fleetDaemon, id dispatch.AttemptID) string {
@@ -113,12 +118,28 @@
 	dispatched := func(after time.Duration, event dispatch.Event) {
 		f.after(after, func() { f.feed(d, NewDispatchEvent(event)) })
 	}
+	if d.hangsOnKept(e.id) {
+		a := &fleetAttempt{daemon: d, engine: e, call: call, id: send.Attempt(), hung: true, engineDone: true}
+		f.attempts[attemptKey(d, a.id)] = a
+		f.after(fleetUserTimeout, func() {
+			if !a.ended {
+				a.ended = true
+				delete(f.attempts, attemptKey(d, a.id))
+				f.feed(d, NewDispatchEvent(dispatch.NewFailed(a.id, dispatch.Interrupted)))
+			}
+		})
+		return
+	}
+	if delay := d.pathDelay(e.id); delay > 0 {
+		dispatched(delay, dispatch.NewFailed(send.Attempt(), dispatch.NotSent))
+		return
+	}
 	if e.down || e.membership.Phase() != replica.PhaseOpen || e.running >= 22 || call == nil {
 		dispatched(fleetLinkDelay, dispatch.NewFailed(send.Attempt(), dispatch.NotRun))
 		return
 	}
 	e.running++
-	a := &fleetAttempt{engine: e, call: call, id: send.Attempt()}
+	a := &fleetAttempt{daemon: d, engine: e, call: call, id: send.Attempt(), stallTimeout: send.StallTimeout()}
 	key, life := attemptKey(d, a.id), d.life
 	f.attempts[key] = a
 	service, _ := f.config().EngineService()
@@ -129,7 +150,7 @@
 	e.prefilled = e.prefilled.Add(service.Engine().Read(f.model(call.model), promptTokens[call.model]))
 	first := e.prefilled.Sub(f.now) + 2*interval
 	f.after(first, func() {
-		if a.ended || d.life != life {
+		if a.ended || a.hung || d.life != life {
 			return
 		}
 		f.work(d, fleetEventCost, func() {
@@ -146,8 +167,12 @@
 		if a.ended {
 			return
 		}
-		a.ended = true
 		e.running--
+		a.engineDone = true
+		if a.hung {
+			return
+		}
+		a.ended = true
 		delete(f.attempts, key)
 		if d.life != life {
 			return
@@ -161,7 +186,7 @@
 func (f *fleet) reportStall(d *fleetDaemon, a *fleetAttempt, timeout time.Duration, timeouts int) {
 	life := d.life
 	f.after(timeout, func() {
-		if !a.started && !a.ended && d.life == life {
+		if (!a.started || a.hung) && !a.ended && d.life == life {
 			f.feed(d, NewDispatchEvent(dispatch.NewStreamStalled(a.id, timeouts)))
 			f.reportStall(d, a, timeout, timeouts+1)
 		}
@@ -177,7 +202,9 @@
 	}
 	delete(f.attempts, attemptKey(d, id))
 	a.ended = true
-	a.engine.running--
+	if !a.engineDone {
+		a.engine.running--
+	}
 	failed := dispatch.NewFailed(id, dispatch.Halted)
 	if a.started {
 		failed = failed.WithProgress("1")
--- a/pkg/gateway/fleet_engines_test.go
+++ b/pkg/gateway/fleet_engines_test.go
@@ -65,12 +65,12 @@
 		d.orders[effect.Verb()]++
 		f.call(d, effect.ID(), fleetOrderTimeout, func(e *fleetEngine) replica.Event {
 			return replica.NewOrderAnswered(effect, f.carryOut(e, effect))
-		}, replica.NewOrderAnswered(effect, replica.ReplyUnanswered))
+		}, replica.NewOrderAnswered(effect, replica.ReplyUnanswered), replica.NewOrderAnswered(effect, replica.ReplyUnanswered))
 	case replica.Probe:
 		d.probes++
 		f.call(d, effect.ID(), effect.Timeout(), func(e *fleetEngine) replica.Event {
 			return replica.NewProbed(f.entry(e).Instance())
-		}, replica.NewProbeExpired(effect.ID()))
+		}, replica.NewProbeFailed(effect.ID()), replica.NewProbeExpired(effect.ID()))
 	case replica.LogEntry:
 		if effect.Message() == "instance dead" && !f.byID[effect.Members()[0]].down {
 			d.falseDeaths++
@@ -78,9 +78,10 @@
 	}
 }
 
-// call sends an order or a probe to an engine. The result is expired unless the daemon has handled the answer in time.
+// call sends an order or a probe to an engine. The result is failed if the connection is refused, and expired unless the daemon has
+// handled the answer in time.
 func (f *fleet) call(
-	d *fleetDaemon, id replica.ID, timeout time.Duration, answer func(*fleetEngine) replica.Event, expired replica.Event,
+	d *fleetDaemon, id replica.ID, timeout time.Duration, answer func(*fleetEngine) replica.Event, failed, expired replica.Event,
 ) {
 	ended := false
 	var end func(replica.Event)
@@ -98,7 +99,10 @@
 	f.work(d, fleetEngineCallCost, func() {
 		f.after(fleetLinkDelay, func() {
 			e := f.byID[id]
-			if e.down || ended {
+			if d.paths[id] == pathRefuses {
+				end(failed)
+			}
+			if e.down || ended || d.paths[id] != pathWorks {
 				return
 			}
 			result := answer(e)
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -96,6 +96,9 @@
 	rejected      bool      // by the store
 	cut           bool      // from its peers and the store
 	isSlow        bool
+	paths         map[replica.ID]pathFault // to engines
+	keptHung      map[replica.ID]bool      // whose open connections are known to deliver nothing
+	wasCut        bool                     // from engines, at some time
 }
 
 // fleetCall is a call at a daemon.
@@ -106,6 +109,8 @@
 	first   time.Duration // from the first arrival to the first event, 0 for none
 	tries   int
 	sends   int
+
+	firstDaemon *fleetDaemon // that got the first try
 }
 
 type fleetEvent struct {
