replica: Declare no instance dead that is silent for a second

An instance was dead after two probes of one daemon without an answer, a quarter of a second: a live one that stands still for a second cost its replica, and so did a path of that daemon alone. Now four probes must be missed, the later ones marked so that other daemons can carry them out, over 150 ms if all were refused and over 1.25 s if one expired. Probes that no daemon with a path carried out are no evidence. From the second missed probe on, the replica gets no calls, so it serves no more often with a missing member than before.

--- a/pkg/replica/effect.go
+++ b/pkg/replica/effect.go
@@ -6,7 +6,7 @@
 	"github.com/azurepond/azurepond/pkg/object"
 )
 
-// Effect is an action for the driver: Store, Order, Probe, AnnounceDead, Counts, HeadsChanged or LogEntry.
+// Effect is an action for the driver: Store, Order, Probe, InstanceSilent, AnnounceDead, Counts, HeadsChanged or LogEntry.
 type Effect interface{ isEffect() }
 
 // Store requests one call to the object API. The driver answers with StoreCompleted.
@@ -74,6 +74,7 @@
 	id      ID
 	address string
 	timeout time.Duration
+	missed  int
 }
 
 // ID returns the instance to probe.
@@ -85,6 +86,15 @@
 // Timeout returns how long to wait for the answer.
 func (p Probe) Timeout() time.Duration { return p.timeout }
 
+// Missed returns how many probes in a row were missed before, so that this one is carried out by another daemon.
+func (p Probe) Missed() int { return p.missed }
+
+// InstanceSilent reports that an instance misses probes, but may still be alive.
+type InstanceSilent struct{ id ID }
+
+// ID returns the instance.
+func (i InstanceSilent) ID() ID { return i.id }
+
 // AnnounceDead reports to the other daemons that an instance does not answer.
 type AnnounceDead struct{ id ID }
 
@@ -157,6 +167,8 @@
 
 func (Probe) isEffect() {}
 
+func (InstanceSilent) isEffect() {}
+
 func (AnnounceDead) isEffect() {}
 
 func (Counts) isEffect() {}
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -39,6 +39,8 @@
 	answered bool
 	expired  bool // no answer arrived within the timeout of the probe
 	instance Instance
+
+	inconclusive bool // no daemon with a path to the instance carried the probe out
 }
 
 // NewProbed returns the event that an instance answered a probe with this report.
@@ -52,6 +54,15 @@
 // NewProbeExpired returns the event that the instance called id did not answer within the timeout of a probe.
 func NewProbeExpired(id ID) Probed { return Probed{id: id, expired: true} }
 
+// NewProbeInconclusive returns the event that no daemon with a path to the instance called id carried a probe out.
+func NewProbeInconclusive(id ID) Probed { return Probed{id: id, inconclusive: true} }
+
+// ID returns the instance.
+func (p Probed) ID() ID { return p.id }
+
+// Answered reports whether the instance answered.
+func (p Probed) Answered() bool { return p.answered }
+
 // Suspected says that an instance may be dead: its replica stopped responding, or a peer reported it.
 type Suspected struct{ id ID }
 
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -8,8 +8,11 @@
 
 // The limits of probes of instances.
 const (
-	maxMissedProbes       = 2                      // one lost packet does not make an instance dead
-	minProbeInterval      = 150 * time.Millisecond // two expired probes take a quarter of a second
+	maxMissedProbes       = 4                       // one by this daemon, three by different peers; some of them may have lost their paths too
+	silentProbes          = 2                       // from which on the replica of an instance gets no new calls
+	minRefusedTime        = 150 * time.Millisecond  // a daemon that is cut from all instances knows that by then
+	minSilentTime         = 1250 * time.Millisecond // a live instance may be silent for a second
+	minProbeInterval      = 150 * time.Millisecond
 	minProbeTimeout       = 120 * time.Millisecond // fifty round trips
 	maxProbeTimeout       = time.Second            // the list drops a dead instance after three heartbeats
 	maxProbesInFlight     = 32                     // more would take a small instance longer than their timeout to handle
@@ -24,6 +27,9 @@
 	if n == nil || n.dead || n.probing || now.Sub(n.lastProbe) < minProbeInterval {
 		return
 	}
+	if now.Sub(n.lastProbe) >= minSilentTime {
+		n.missedProbes, n.inconclusiveProbes = 0, 0
+	}
 	s.probe(now, id, n)
 }
 
@@ -42,7 +48,7 @@
 	s.probesInFlight++
 	n.lastProbe = now
 	n.probeTimeout = min(s.neededProbeTimeout(now), maxProbeTimeout)
-	s.emit(Probe{id, n.address, n.probeTimeout})
+	s.emit(Probe{id, n.address, n.probeTimeout, n.missedProbes})
 }
 
 // neededProbeTimeout returns how long a live instance may take to answer a probe, as this daemon sees it.
@@ -78,18 +84,60 @@
 		s.probe(now, e.id, n) // this daemon was late itself, and the answer may still be unread
 		return
 	}
-	n.missedProbes++
-	if n.missedProbes < maxMissedProbes {
-		s.probe(now, e.id, n)
+	s.missProbe(now, n, e)
+}
+
+// missProbe handles a probe without an answer. The instance is probed through other daemons then, and is dead if none of them gets an
+// answer for long enough either.
+func (s *State) missProbe(now time.Time, n *node, e Probed) {
+	if e.inconclusive {
+		if n.inconclusiveProbes++; n.inconclusiveProbes <= maxMissedProbes {
+			s.probe(now, e.id, n)
+		}
 		return
 	}
-	if !n.dead {
+	if n.missedProbes == 0 {
+		n.silentSince, n.isRefusing = n.lastProbe, true
+	}
+	n.missedProbes++
+	n.isRefusing = n.isRefusing && !e.expired
+	if n.missedProbes == silentProbes && !n.dead {
+		s.emit(InstanceSilent{e.id})
+	}
+	needed := minSilentTime
+	if n.isRefusing {
+		needed = minRefusedTime
+	}
+	switch {
+	case n.dead: // probeDead probes it
+	case n.missedProbes < maxMissedProbes:
+		s.probe(now, e.id, n)
+	case now.Sub(n.silentSince) < needed:
+		s.silentIDs[e.id] = true
+	default:
 		s.setDead(n, true)
 		s.emit(AnnounceDead{e.id})
 		s.emit(LogEntry{message: "instance dead", replica: n.membership.replica, members: []ID{e.id}, reason: "probes unanswered"})
 	}
 }
 
+// isSilent reports whether an instance misses probes, but may still be alive.
+func (n *node) isSilent() bool { return n.missedProbes >= silentProbes }
+
+// probeSilent probes the instances again that have missed enough probes, but not for long enough.
+func (s *State) probeSilent(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.silentIDs)) {
+		n := s.nodes[id]
+		if n != nil && now.Sub(n.lastProbe) < minProbeInterval {
+			continue
+		}
+		delete(s.silentIDs, id)
+		if n != nil && !n.probing && !n.dead && n.missedProbes > 0 {
+			s.probe(now, id, n)
+		}
+	}
+}
+
 // applyReport marks an instance as alive and applies what it reports.
 func (s *State) applyReport(now time.Time, n *node, report Instance) {
 	if n.incarnation > report.incarnation {
@@ -105,7 +153,7 @@
 	n.membershipConfirmed = now
 	previous := n.membership
 	s.setDead(n, false)
-	n.missedProbes = 0
+	n.missedProbes, n.inconclusiveProbes = 0, 0
 	s.isPlanUrgent = s.isPlanUrgent || isRestarted || report.membership.phase == PhaseBroken && previous.phase != PhaseBroken
 	s.noteEpoch(report.membership.epoch)
 	n.incarnation, n.loadedModel, n.stagedModels = report.incarnation, report.loadedModel, report.stagedModels
--- a/pkg/replica/recovery_test.go
+++ b/pkg/replica/recovery_test.go
@@ -20,7 +20,7 @@
 		sim.kill(memberInMixedDomain(sim, rank))
 		sim.run(1200 * time.Millisecond)
 	}
-	sim.run(2 * time.Second)
+	sim.run(2*time.Second + minSilentTime)
 	return sim
 }
 
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -16,6 +16,7 @@
 	nodes          map[ID]*node
 	sortedIDs      []ID              // of the nodes
 	deadIDs        map[ID]bool       // of the nodes that do not answer probes
+	silentIDs      map[ID]bool       // of the nodes that are probed again after minProbeInterval
 	heads          map[string][]Head // by model
 	storeEra       uint64            // 0 if unknown
 	highestEpoch   uint64            // of the records and the reports that this daemon has seen
@@ -63,7 +64,10 @@
 	membershipConfirmed time.Time // when the instance itself last confirmed its membership
 	membershipChanged   time.Time // when the membership last changed
 	dead                bool      // probes are not answered
-	missedProbes        int
+	missedProbes        int       // in a row, by this daemon and its peers
+	inconclusiveProbes  int       // since the last answer, that no daemon with a path carried out
+	silentSince         time.Time // when the first of the missed probes was sent
+	isRefusing          bool      // all of them were refused
 	lastProbe           time.Time // when the last probe was sent
 	probing             bool      // a probe runs or is queued
 	probeQueued         bool
@@ -77,6 +81,7 @@
 		settings:          settings,
 		nodes:             map[ID]*node{},
 		deadIDs:           map[ID]bool{},
+		silentIDs:         map[ID]bool{},
 		heads:             map[string][]Head{},
 		formerAssignments: map[ID][]assignment{},
 		closed:            map[replicaEpoch]bool{},
@@ -139,6 +144,7 @@
 		isInstanceEvent = false
 	case Ticked:
 		s.probeDead(now)
+		s.probeSilent(now)
 		isInstanceEvent = false
 	}
 	if isInstanceEvent {
