--- a/pkg/gateway/fleet_calls_test.go
+++ b/pkg/gateway/fleet_calls_test.go
@@ -13,11 +13,21 @@
 func (f *fleet) startTraffic() {
 	gap := f.random.ExpFloat64() / f.size.callsPerSecond
 	f.after(time.Duration(gap*float64(time.Second)), func() {
-		f.arrive(f.daemons[f.random.IntN(len(f.daemons))])
+		f.arrive(f.pickDaemon())
 		f.startTraffic()
 	})
 }
 
+// pickDaemon selects the daemon that gets the next try of a caller.
+func (f *fleet) pickDaemon() *fleetDaemon {
+	d := f.daemons[f.random.IntN(len(f.daemons))]
+	if f.pick != nil {
+		d = f.pick()
+	}
+	d.gotCalls++
+	return d
+}
+
 func callKey(d *fleetDaemon, id dispatch.ID) string { return fmt.Sprint(d.name, "/", id) }
 
 // arrive sends a new call to a daemon.
@@ -73,7 +83,7 @@
 // comeBack makes a caller try again at a random daemon, unless it has tried often enough.
 func (f *fleet) comeBack(call *fleetCall, wait time.Duration) {
 	if call.tries < maxFleetTries {
-		f.after(wait, func() { f.try(f.daemons[f.random.IntN(len(f.daemons))], call) })
+		f.after(wait, func() { f.try(f.pickDaemon(), call) })
 	}
 }
 
--- a/pkg/gateway/fleet_paths_test.go
+++ b/pkg/gateway/fleet_paths_test.go
@@ -107,7 +107,7 @@
 			}
 		})
 	}
-	if via.down || via.cut || d.cut {
+	if via.down || via.cut || d.cut || f.noRelays {
 		back(func() { refused(relay.NoRelay) })
 		return
 	}
@@ -137,7 +137,8 @@
 			f.after(fleetLinkDelay, func() { accepted(via, end) })
 		}
 		f.relayed++
-		f.feed(via, NewRelayRequested(id, upstream, isCall))
+		via.relayed++
+		f.work(via, fleetRelayCost, func() { f.feed(via, NewRelayRequested(id, upstream, isCall)) })
 	})
 }
 
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -102,6 +102,8 @@
 	keptHung      map[replica.ID]bool      // whose open connections are known to deliver nothing
 	wasCut        bool                     // from engines, at some time
 	checks        int                      // of paths
+	relayed       int                      // requests of peers
+	gotCalls      int
 	relays        map[RelayID]func(RelayDecided)
 }
 
@@ -173,6 +175,8 @@
 	processes []Upstream               // of plain services
 	nextRelay RelayID
 	relayed   int // requests that went through a peer
+	noRelays  bool
+	pick      func() *fleetDaemon // selects the daemon of a call, nil for any
 }
 
 func newFleet(size fleetSize, traffic time.Duration) *fleet {
--- a/pkg/gateway/processor_test.go
+++ b/pkg/gateway/processor_test.go
@@ -12,9 +12,10 @@
 const (
 	fleetEventCost      = 40 * time.Microsecond
 	fleetTickCost       = 20 * time.Microsecond
-	fleetArrivalCost    = 600 * time.Microsecond // of a call: read, routed and sent
-	fleetAnswerCost     = 800 * time.Microsecond // of a call: its events, forwarded
-	fleetEngineCallCost = 250 * time.Microsecond // of an order or a probe: a new connection and the request, or the answer
+	fleetArrivalCost    = 600 * time.Microsecond  // of a call: read, routed and sent
+	fleetRelayCost      = 1200 * time.Microsecond // of a call that is passed on for a peer: read, sent, and its events forwarded
+	fleetAnswerCost     = 800 * time.Microsecond  // of a call: its events, forwarded
+	fleetEngineCallCost = 250 * time.Microsecond  // of an order or a probe: a new connection and the request, or the answer
 )
 
 // eventCost returns the processor time that an event takes.
