platform, replica: Obey Retry-After in answers to orders and probes

Read once through all that is sent to upstreams, two kinds did not: an answer to an order or a probe with this header was ignored, and orders went on, again each 300 ms while unanswered.

Answers to orders and probes throttle now as those to calls do, and an instance that throttles the leader gets one order until then.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -53,12 +53,18 @@
 
 // Engines sends orders to engines and probes them.
 type Engines interface {
-	// Order sends an order and returns the engine's reply, and whether the engine announces that it shuts down. It goes through the daemon
-	// that passes requests on at via (host:port), or directly if that is empty.
-	Order(ctx context.Context, order replica.Order, via string) (reply replica.Reply, leaving bool)
-	// Probe returns the state that the instance id at address reports, and whether it announces that it shuts down. It goes through the
-	// daemon that passes requests on at via, or directly if that is empty. The error is a relay.OutcomeError if that daemon got no answer.
-	Probe(ctx context.Context, id replica.ID, address, via string) (replica.Instance, error)
+	// Order sends an order and returns the engine's reply. It goes through the daemon that passes requests on at via (host:port), or
+	// directly if that is empty.
+	Order(ctx context.Context, order replica.Order, via string) (replica.Reply, Notice)
+	// Probe returns the state that the instance id at address reports. It goes through the daemon that passes requests on at via, or
+	// directly if that is empty. The error is a relay.OutcomeError if that daemon got no answer.
+	Probe(ctx context.Context, id replica.ID, address, via string) (replica.Instance, Notice, error)
+}
+
+// Notice is what an answer of an engine to an order or a probe says beside its result.
+type Notice struct {
+	Leaving    bool          // the engine announces that it shuts down
+	RetryAfter time.Duration // for which the engine throttles the daemon that sent the request, 0 for none
 }
 
 // Endpoints provides the handlers of the platform's calls to a daemon.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -188,13 +188,11 @@
 	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 	defer cancel()
 	order := effect.Order()
-	reply, leaving := d.adapter.Engines.Order(ctx, order, effect.Via().Address())
+	reply, notice := d.adapter.Engines.Order(ctx, order, effect.Via().Address())
 	d.recorder.OrderAnswered(order.Verb().String(), reply.String())
 	d.log.Info("replica", "order", "verb", order.Verb(), "instance", order.ID(), "replica", order.Replica(),
 		"epoch", order.Epoch(), "token", order.FencingToken(), "relay", effect.Via().Name(), "reply", reply)
-	if leaving {
-		d.enqueue(gateway.NewLeavingReported(order.ID()))
-	}
+	d.observe(order.ID(), notice)
 	if reply == replica.ReplyUnanswered && effect.Via() == (relay.Peer{}) {
 		d.enqueueRelay(relay.NewSuspected(string(order.ID())))
 	}
@@ -205,7 +203,8 @@
 	probe, via := effect.Probe(), effect.Via()
 	ctx, cancel := context.WithTimeout(d.ctx, probe.Timeout())
 	defer cancel()
-	instance, err := d.adapter.Engines.Probe(ctx, probe.ID(), probe.Address(), via.Address())
+	instance, notice, err := d.adapter.Engines.Probe(ctx, probe.ID(), probe.Address(), via.Address())
+	d.observe(probe.ID(), notice)
 	if err != nil {
 		d.recorder.ProbeEnded("missed")
 		d.log.Info("replica", "probe failed",
@@ -214,12 +213,19 @@
 		return
 	}
 	d.recorder.ProbeEnded("answered")
-	if instance.Leaving() {
-		d.enqueue(gateway.NewLeavingReported(probe.ID()))
-	}
 	d.enqueue(gateway.NewProbeEnded(replica.NewProbed(instance)).Via(via.Name(), relay.NoRelay))
 }
 
+// observe handles what an answer of an engine says beside its result.
+func (d *Daemon) observe(id replica.ID, notice Notice) {
+	if notice.Leaving {
+		d.enqueue(gateway.NewLeavingReported(id))
+	}
+	if notice.RetryAfter > 0 {
+		d.enqueueDispatch(dispatch.NewUpstreamThrottled(string(id), notice.RetryAfter))
+	}
+}
+
 // missedProbe returns the event of a probe that ended with err.
 func missedProbe(ctx context.Context, id replica.ID, err error) gateway.ProbeEnded {
 	var outcome hop.OutcomeError
--- a/pkg/replica/interval_test.go
+++ b/pkg/replica/interval_test.go
@@ -21,6 +21,7 @@
 	stages  []Order
 	probes  int
 	plans   int // how often the record was compared with the state
+	onOrder func(Order)
 }
 
 func newLeader() *testLeader {
@@ -39,6 +40,9 @@
 			l.store(effect.Request())
 		case Order:
 			l.orders[effect.Verb()]++
+			if l.onOrder != nil {
+				l.onOrder(effect)
+			}
 			if effect.Verb() == VerbStage {
 				l.stages = append(l.stages, effect)
 			}
@@ -186,3 +190,31 @@
 		So(l.plans, ShouldEqual, 0)
 	})
 }
+
+func TestOrdersToThrottlingInstance(t *testing.T) {
+	Convey("An instance that throttles the leader gets one order until then, whatever becomes of it", t, func() {
+		l := newLeader()
+		var all []Instance
+		for i := range 4 {
+			all = append(all, NewInstance(ID(fmt.Sprint("i", i)), "10.0.0.1:1", "c", "d", 1))
+		}
+		l.feed(NewListed(all))
+		until := l.now.Add(10 * time.Second)
+		for _, i := range all {
+			l.feed(NewProbesPaused(i.ID(), until))
+		}
+		counts := map[ID]int{}
+		l.onOrder = func(o Order) {
+			counts[o.ID()]++
+			l.feed(NewOrderAnswered(o, ReplyUnanswered))
+		}
+		for l.now.Before(until.Add(-25 * time.Millisecond)) {
+			l.now = l.now.Add(25 * time.Millisecond)
+			l.feed(NewTicked())
+		}
+		So(len(counts), ShouldEqual, 4)
+		for _, count := range counts {
+			So(count, ShouldEqual, 1)
+		}
+	})
+}
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -133,9 +133,9 @@
 
 // mustDefer reports whether an order must not be sent yet. That is so while a reply of the instance is outstanding,
 // since orders on two connections may be reordered. It is also so after the reply to the same order, while its effect
-// may still become visible, and while too many orders have no reply.
+// may still become visible, while too many orders have no reply, and after one order to an instance that throttles this daemon.
 func (s *State) mustDefer(now time.Time, n *node, o Order) bool {
-	if s.ordersInFlight >= maxOrdersInFlight {
+	if s.ordersInFlight >= maxOrdersInFlight || n.orderedWhileThrottled && now.Before(n.probesPausedUntil) {
 		return true
 	}
 	orders := s.lastOrders[n.id]
@@ -153,6 +153,7 @@
 	if s.mustDefer(now, n, o) {
 		return
 	}
+	n.orderedWhileThrottled = now.Before(n.probesPausedUntil)
 	s.orderCount++
 	o.id, o.address = n.id, n.address
 	o.fencingToken = s.record.epoch<<orderCountBits | s.orderCount
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -71,8 +71,10 @@
 	lastProbe           time.Time // when the last probe was sent
 	probing             bool      // a probe runs or is queued
 	probeQueued         bool
-	probesPausedUntil   time.Time     // it throttles this daemon until then
-	probeTimeout        time.Duration // of the last probe
+	probesPausedUntil   time.Time // it throttles this daemon until then
+
+	orderedWhileThrottled bool          // an order was sent to it meanwhile
+	probeTimeout          time.Duration // of the last probe
 }
 
 // New returns the state of a daemon with these settings.
