gateway: Replace a reader of the list that is cut from the store within its silence and 0.3 s

A watch that replaces a silent one has 0.3 s for its first answer now; until then its daemon tells subscribers that the list is unavailable, and they request it from another reader at once, at most twice a second. If only open connections are silent, the new one is answered within a few round trips. Such replies contain no entries.

--- a/pkg/gateway/fleet_engines_test.go
+++ b/pkg/gateway/fleet_engines_test.go
@@ -15,7 +15,7 @@
 }
 
 func (f *fleet) entry(e *fleetEngine) Upstream {
-	instance := replica.NewInstance(e.id, string(e.id), e.centre, e.domain, 1)
+	instance := replica.NewInstance(e.id, string(e.id), e.centre, e.domain, 1).WithLeaving(e.leaving)
 	if e.staged != "" {
 		instance = instance.WithModels(e.loaded, e.staged)
 	}
--- a/pkg/gateway/fleet_store_test.go
+++ b/pkg/gateway/fleet_store_test.go
@@ -136,6 +136,19 @@
 func (f *fleet) readList(d *fleetDaemon, delay time.Duration) {
 	d.storeCalls++
 	number := d.listWatch
+	if d.storeCut {
+		f.after(fleetCallTimeout, func() {
+			if d.listWatch == number {
+				f.feed(d, NewListFailed())
+				f.after(fleetRetryDelay, func() {
+					if d.listWatch == number {
+						f.readList(d, delay)
+					}
+				})
+			}
+		})
+		return
+	}
 	f.after(delay, func() {
 		if d.listWatch == number && d.rejected {
 			f.feed(d, NewListFailed())
@@ -188,6 +201,14 @@
 	}
 }
 
+// cutStore makes all connections of a daemon to the store silent, also new ones.
+func (f *fleet) cutStore(d *fleetDaemon) {
+	d.storeCut, d.listSilent = true, d.watching
+	for _, w := range d.watches {
+		w.silent = true
+	}
+}
+
 // restoreStore restores the store from a snapshot of this age. The daemons that watch the list notice, and read it again.
 func (f *fleet) restoreStore(age time.Duration) {
 	f.era++
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -58,6 +58,7 @@
 	domain     string
 	listed     bool
 	down       bool
+	leaving    bool
 	staged     string
 	loaded     string
 	lastModel  string
@@ -96,6 +97,7 @@
 	pooledSilent  bool      // the idle connections to the store deliver nothing
 	disturbedAt   time.Time // last start, end of a freeze, or loss of connections
 	rejected      bool      // by the store
+	storeCut      bool      // from the store, silently
 	cut           bool      // from its peers and the store
 	isSlow        bool
 	paths         map[replica.ID]pathFault // to engines
@@ -305,7 +307,7 @@
 	case ResetStore:
 		d.pooledSilent = false
 	case WatchUpstreams:
-		d.watching, d.listSilent = effect.Enabled(), false
+		d.watching, d.listSilent = effect.Enabled(), d.storeCut
 		d.listWatch++
 		if d.watching {
 			f.readList(d, fleetStoreDelay)
@@ -424,7 +426,7 @@
 		f.after(fleetStoreDelay, func() { reply(object.NewRefused(ref, "Service Unavailable")) })
 		return
 	}
-	if d.pooledSilent {
+	if d.pooledSilent || d.storeCut {
 		f.after(fleetCallTimeout, func() {
 			d.pooledSilent = false
 			f.feed(d, NewStoreCompleted(effect.Component(), object.NewLost(ref)))
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -13,10 +13,15 @@
 // silentWatchFactor times the wait of its calls is how long a watch may be without an answer.
 const silentWatchFactor = 1.5
 
+// replacementTimeout is how long the first answer to the watch that replaces a silent one may take, until the store counts as
+// unreachable. A store that only lost connections answers within a few round trips.
+const replacementTimeout = 300 * time.Millisecond
+
 // storeWatch is when the store last answered a watch; the zero value is a watch that was not answered yet.
 type storeWatch struct {
 	ref        object.Ref // of the watch of an object, 0 for none
 	answeredAt time.Time
+	replacedAt time.Time // when it replaced a silent watch, zero if it did not or was answered since
 }
 
 // silence returns how long a watch that was answered before has been silent.
@@ -32,6 +37,9 @@
 	if !w.answeredAt.IsZero() {
 		w.answeredAt = w.answeredAt.Add(pause)
 	}
+	if !w.replacedAt.IsZero() {
+		w.replacedAt = w.replacedAt.Add(pause)
+	}
 }
 
 // observeConfigWatch records an answer to the watch of the configuration.
@@ -59,8 +67,11 @@
 		s.reducePeer(now, peer.NewRereadRequested())
 	}
 	if silence := s.listSync.watch.silence(now); silence > limit+s.listSync.watchInterval {
-		s.listSync.watch = storeWatch{}
+		s.listSync.watch = storeWatch{replacedAt: now}
 		s.emit(ResetStore{"upstreams", silence})
 		s.emit(WatchUpstreams{s.listSync.watchInterval})
 	}
+	if w := s.listSync.watch; !w.replacedAt.IsZero() && now.Sub(w.replacedAt) > replacementTimeout+s.lag.Recent(now) {
+		s.listFailed(now)
+	}
 }
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -73,12 +73,12 @@
 	case ConfigDecoded:
 		s.configure(now, e.config)
 	case Listed:
-		s.listSync.watch.answeredAt = now
+		s.listSync.watch = storeWatch{answeredAt: now}
 		if s.observeEra(now, e.era) {
 			s.applyList(now, e)
 		}
 	case ListUnchanged:
-		s.listSync.watch.answeredAt = now
+		s.listSync.watch = storeWatch{answeredAt: now}
 	case ListFailed:
 		s.listSync.watch = storeWatch{}
 		s.listFailed(now)
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -46,7 +46,8 @@
 	sourceRevision uint64 // of the last update applied
 	receivedAt     time.Time
 	requestedAt    time.Time
-	synced         bool // the complete list was received from source
+	switchedAt     time.Time // when the source was last replaced, as it could not read the list
+	synced         bool      // the complete list was received from source
 }
 
 func newListSync(now time.Time) listSync {
@@ -143,11 +144,30 @@
 		sync.source = s.pickReader(isLost)
 		sync.sourceStart, sync.sourceRevision, sync.synced = 0, 0, false
 	}
+	s.askSource(now)
+}
+
+// askSource requests the changes since the last update from the source.
+func (s *State) askSource(now time.Time) {
+	sync := &s.listSync
 	sync.requestedAt = now
 	s.sendListMessage(now, sync.source,
 		listMessage{isRequest: true, readerStart: sync.sourceStart, toRevision: sync.sourceRevision})
 }
 
+// switchSource requests the list from another reader, as the source can't read it. If none can, readers are tried in turn.
+func (s *State) switchSource(now time.Time) {
+	sync := &s.listSync
+	others := slices.DeleteFunc(slices.Clone(s.members.readers), func(name string) bool { return name == sync.source })
+	if len(others) == 0 || now.Sub(sync.switchedAt) < minSourceSwitchInterval {
+		return
+	}
+	sync.switchedAt = now
+	sync.source = others[s.random.IntN(len(others))]
+	sync.sourceStart, sync.sourceRevision = 0, 0 // it has a source still, and need not watch the store itself
+	s.askSource(now)
+}
+
 // pickReader returns a random reader in the own data centre. It returns any reader if there is none, or if the last one did
 // not reply.
 func (s *State) pickReader(isLost bool) string {
@@ -205,7 +225,12 @@
 	sync := &s.listSync
 	reply := listMessage{
 		readerStart: sync.start, fromRevision: sync.revision, toRevision: sync.revision,
-		unavailable: s.listing.unavailable || s.members.storeUnreachable,
+		unavailable: s.listing.unavailable || s.members.storeUnreachable || !sync.watch.replacedAt.IsZero(),
+	}
+	if reply.unavailable {
+		reply.complete, reply.readerStart = true, request.readerStart
+		reply.fromRevision, reply.toRevision = request.toRevision, request.toRevision
+		return reply
 	}
 	since := request.toRevision
 	reply.complete = request.readerStart != sync.start || since < sync.oldestRevision || since > sync.revision
@@ -234,9 +259,7 @@
 	}
 	isSameStart := update.readerStart == sync.sourceStart
 	if !update.complete && (!isSameStart || update.fromRevision > sync.sourceRevision) {
-		sync.requestedAt = now
-		s.sendListMessage(now, sync.source,
-			listMessage{isRequest: true, readerStart: sync.sourceStart, toRevision: sync.sourceRevision})
+		s.askSource(now)
 		return
 	}
 	if isSameStart && sync.synced && update.toRevision < sync.sourceRevision {
@@ -247,11 +270,12 @@
 		// The daemon's own watch is newer if it is answered. If it is not, the changes are requested again after it has stopped.
 		return
 	}
-	sync.sourceStart, sync.sourceRevision, sync.synced = update.readerStart, update.toRevision, true
 	if update.unavailable {
-		s.listing.unavailable = true
+		sync.synced, s.listing.unavailable = true, true
+		s.switchSource(now)
 		return
 	}
+	sync.sourceStart, sync.sourceRevision, sync.synced = update.readerStart, update.toRevision, true
 	list := Listed{upstreams: update.changed, gone: update.gone, complete: update.complete}
 	changed, gone := s.listing.apply(now, list, absentGraceOtherReader)
 	s.applyListChanges(now, changed, gone)
--- a/pkg/gateway/sync_test.go
+++ b/pkg/gateway/sync_test.go
@@ -131,3 +131,53 @@
 		So(len(s.listing.entries), ShouldEqual, 3)
 	})
 }
+
+// drainTime is the time after which a leaving upstream must get no new work, in the deployments whose watches wait for fleetWatchWait.
+const drainTime = 2 * time.Second
+
+func TestLeavingUpstreamAtSubscribersOfCutReader(t *testing.T) {
+	Convey("The daemons whose reader is cut from the store know of an upstream that leaves before it must get no new work", t, func() {
+		for step := range 10 {
+			f := newFleet(mediumFleet(), time.Minute)
+			f.run(8*time.Second + time.Duration(step)*110*time.Millisecond)
+			var cut *fleetDaemon
+			for _, d := range f.daemons {
+				if d.members.isReader && len(d.listSync.subscribers) > 0 {
+					cut = d
+				}
+			}
+			f.cutStore(cut)
+			f.run(f.now.Sub(fleetEpoch) + 100*time.Millisecond)
+			leaving := f.engines[0]
+			leaving.leaving = true
+			f.changed(leaving)
+			f.run(f.now.Sub(fleetEpoch) + drainTime)
+			late := 0
+			for _, d := range f.daemons {
+				if d != cut && !d.listing.entries[leaving.id].instance.Leaving() {
+					late++
+				}
+			}
+			So(late, ShouldEqual, 0)
+		}
+	})
+
+	Convey("While the store is down for all, daemons change their reader at most twice a second", t, func() {
+		f := newFleet(mediumFleet(), time.Minute)
+		f.run(8 * time.Second)
+		for _, d := range f.daemons {
+			f.cutStore(d)
+		}
+		sent := func() int {
+			sum := 0
+			for _, d := range f.daemons {
+				sum += d.sentBytes
+			}
+			return sum
+		}
+		f.run(12 * time.Second)
+		before := sent()
+		f.run(16 * time.Second)
+		So(float64(sent()-before)/4/float64(len(f.daemons)), ShouldBeLessThan, 5000) // bytes a second
+	})
+}
