relay: Judge cuts by service, and tell lost packets from lost paths

Access counts as none now only if a peer reaches the service meanwhile, and a probe is evidence if its daemon is not cut from that service. - One lost packet of a new connection made a daemon give up the lead for seconds. While paths are lost in part, the first request to each other upstream goes through a peer, and its path is checked.

The test compares the engines in open replicas, not the replicas, of which demand turned two into one in one case (224 of 224 engines).

--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -109,7 +109,7 @@
 		s.reduceRelay(now, relay.NewConnected(upstream))
 	case e.via == "":
 		s.reduceRelay(now, relay.NewSuspected(upstream))
-		isEvidence = s.relay.Access() != relay.AccessNone
+		isEvidence = !s.relay.IsCut(s, upstream)
 	case result.Answered():
 		s.reduceRelay(now, relay.NewAnswered(e.via, upstream))
 	default:
--- a/pkg/relay/check.go
+++ b/pkg/relay/check.go
@@ -14,7 +14,7 @@
 	suspectCheckInterval = time.Second            // between two checks of a silent upstream
 	sampleInterval       = 500 * time.Millisecond // between two checks of other upstreams after a lost path
 	checkTimeout         = time.Second            // after which a check without a result is repeated
-	maxChecksPerTick     = 2
+	maxChecksPerTick     = 4
 	cutChecks            = 2 // at once
 )
 
@@ -70,18 +70,20 @@
 	}
 }
 
-// checkLost checks the lost paths to services from which this daemon is not cut.
+// checkLost checks the paths that are lost or may be, to services from which this daemon is not cut.
 func (s *State) checkLost(now time.Time, up Upstreams) {
 	left := maxChecksPerTick
 	for _, name := range slices.Sorted(maps.Keys(s.paths)) {
 		p := s.paths[name]
+		isDue := p.isCheckDue || p.isLost && !now.Before(p.nextCheck)
 		if left == 0 {
 			return
 		}
-		if !p.isLost || now.Before(p.nextCheck) || s.isCutFrom(p.service) {
+		if !isDue || s.isCutFrom(p.service) {
 			continue
 		}
 		left--
+		p.isCheckDue = false
 		p.interval = min(2*p.interval, maxCheckInterval)
 		p.nextCheck = now.Add(p.interval)
 		_, address := up.UpstreamAddress(name)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -66,7 +66,7 @@
 const (
 	AccessFull Access = iota // all that its peers reach
 	AccessSome               // a peer reaches upstreams that this daemon does not
-	AccessNone               // this daemon reaches none
+	AccessNone               // a peer reaches upstreams of a service of which this daemon reaches none
 )
 
 var accessNames = [...]string{"full", "some", "none"}
--- a/pkg/relay/route.go
+++ b/pkg/relay/route.go
@@ -23,10 +23,17 @@
 // maxRelays is the number of peers of a route; some may have lost the same paths, which is not known at first.
 const maxRelays = 2
 
-// Route returns the route to an upstream.
+// Route returns the route to an upstream. A request whose path may be lost goes through a peer too, and the path is checked.
 func (s *State) Route(now time.Time, up Upstreams, upstream string) Route {
 	relays := s.pickRelays(now, upstream)
-	return Route{isIndirect: s.IsLost(up, upstream) && len(relays) > 0, relays: relays}
+	if len(relays) == 0 || relays[0].access == AccessNone {
+		return Route{relays: relays}
+	}
+	isIndirect := s.IsLost(up, upstream)
+	if name, _ := up.UpstreamAddress(upstream); !isIndirect && s.isDoubtful(name, s.paths[upstream]) {
+		s.path(name, upstream).isCheckDue, isIndirect = true, true
+	}
+	return Route{isIndirect: isIndirect, relays: relays}
 }
 
 // Witness returns the peer through which an upstream is probed after a number of probes in a row were missed. Each number selects
@@ -48,7 +55,7 @@
 func (s *State) candidates(now time.Time) []Peer {
 	var best []Peer
 	for _, p := range s.peers {
-		if p.access == AccessNone || now.Before(s.avoidPeers[p.name]) {
+		if now.Before(s.avoidPeers[p.name]) {
 			continue
 		}
 		if len(best) > 0 && p.access < best[0].access {
--- a/pkg/relay/state.go
+++ b/pkg/relay/state.go
@@ -35,22 +35,31 @@
 
 // service holds what is known of the paths to all upstreams of a service.
 type service struct {
-	failed    map[string]bool // upstreams to which a connection failed since one to any was established
-	isCut     bool            // no connection to any upstream is established
-	sampledAt time.Time       // when random upstreams were last checked
+	failed map[string]bool // upstreams to which a connection failed since one to any was established
+	isCut  bool            // no connection to any upstream is established
+
+	isConfirmed  bool      // a peer reaches one of them meanwhile
+	sampledAt    time.Time // when random upstreams were last checked
+	partialSince time.Time // since when a path is lost that a peer does not lack, zero if none is
 }
 
 // path is the path of this daemon to one upstream.
 type path struct {
 	service     string
 	isLost      bool
+	failures    int  // connections that failed in a row
 	isConfirmed bool // a peer reaches the upstream meanwhile
 	isChecking  bool
+	isCheckDue  bool // a request was sent another way, as the path may be lost
+	connectedAt time.Time
 	checkedAt   time.Time
 	nextCheck   time.Time // of a lost path
 	interval    time.Duration
 }
 
+// lostInPart reports whether the path is lost while a peer reaches the upstream. One failed connection may be a lost packet.
+func (p *path) lostInPart() bool { return p.isLost && p.isConfirmed && p.failures > 1 }
+
 // randomStream separates the random numbers of this package from those of other packages with the same seed.
 const randomStream = 17
 
@@ -73,7 +82,7 @@
 	case Suspected:
 		s.suspect(now, up, e.upstream)
 	case Answered:
-		s.handleRelayAnswered(e)
+		s.handleAnswered(up, e)
 	case Failed:
 		s.handleRelayFailed(now, e)
 	case PeersChanged:
@@ -106,6 +115,12 @@
 	return s.isCutFrom(name)
 }
 
+// IsCut reports whether this daemon is cut from all upstreams of the service of an upstream.
+func (s *State) IsCut(up Upstreams, upstream string) bool {
+	name, _ := up.UpstreamAddress(upstream)
+	return s.isCutFrom(name)
+}
+
 func (s *State) isCutFrom(name string) bool { return s.services[name] != nil && s.services[name].isCut }
 
 func (s *State) path(serviceName, upstream string) *path {
@@ -136,11 +151,14 @@
 	if v := s.services[name]; v != nil {
 		clear(v.failed)
 		if v.isCut {
-			v.isCut = false
+			v.isCut, v.isConfirmed = false, false
 			s.checkAllAt(now, name)
 		}
 	}
 	p := s.paths[upstream]
+	if p == nil && s.isPartlyLost(name) {
+		p = s.path(name, upstream)
+	}
 	if p == nil {
 		return
 	}
@@ -148,7 +166,17 @@
 		s.lostCount--
 		s.emit(PathRestored{upstream})
 	}
-	*p = path{service: p.service, checkedAt: p.checkedAt}
+	*p = path{service: p.service, checkedAt: p.checkedAt, connectedAt: now}
+}
+
+func (s *State) isPartlyLost(serviceName string) bool {
+	v := s.services[serviceName]
+	return v != nil && !v.partialSince.IsZero()
+}
+
+// isDoubtful reports whether the path to an upstream may be lost: others of its service are, and this one was not used since.
+func (s *State) isDoubtful(serviceName string, p *path) bool {
+	return s.isPartlyLost(serviceName) && (p == nil || p.connectedAt.Before(s.services[serviceName].partialSince))
 }
 
 // checkAllAt makes the checks of all lost paths to a service due at a time.
@@ -178,6 +206,7 @@
 		return
 	}
 	v.failed[e.upstream] = true
+	p.failures++
 	if !p.isLost {
 		p.isLost, p.interval = true, minCheckInterval
 		s.lostCount++
@@ -191,8 +220,13 @@
 	}
 }
 
-func (s *State) handleRelayAnswered(e Answered) {
+// handleAnswered records that a peer reaches an upstream, so that a failed connection of this daemon was the fault of its path.
+func (s *State) handleAnswered(up Upstreams, e Answered) {
 	delete(s.noPaths, pair{e.peer, e.upstream})
+	name, _ := up.UpstreamAddress(e.upstream)
+	if s.isCutFrom(name) {
+		s.services[name].isConfirmed = true
+	}
 	if p := s.paths[e.upstream]; p != nil && p.isLost {
 		p.isConfirmed = true
 	}
@@ -220,16 +254,11 @@
 // refreshAccess determines the access of this daemon. A lost path counts if a peer reaches its upstream meanwhile.
 func (s *State) refreshAccess(now time.Time) {
 	access := AccessFull
-	if s.lostCount > 0 {
-		for _, p := range s.paths {
-			if p.isLost && p.isConfirmed {
-				access = AccessSome
-				break
-			}
-		}
+	if s.lostCount > 0 || s.access != AccessFull {
+		access = s.refreshPartial(now)
 	}
 	for _, v := range s.services {
-		if v.isCut {
+		if v.isCut && v.isConfirmed {
 			access = AccessNone
 		}
 	}
@@ -244,6 +273,27 @@
 	}
 }
 
+// refreshPartial determines which services this daemon lost paths of that a peer does not lack.
+func (s *State) refreshPartial(now time.Time) Access {
+	access := AccessFull
+	isPartial := map[string]bool{}
+	for _, p := range s.paths {
+		isPartial[p.service] = isPartial[p.service] || p.lostInPart()
+	}
+	for name, v := range s.services {
+		switch {
+		case !isPartial[name]:
+			v.partialSince = time.Time{}
+		case v.partialSince.IsZero():
+			v.partialSince = now
+		}
+		if isPartial[name] {
+			access = AccessSome
+		}
+	}
+	return access
+}
+
 // pathMemory is how long a path is remembered that was checked and is not lost.
 const pathMemory = 5 * time.Second
 
@@ -251,7 +301,7 @@
 func (s *State) forget(now time.Time, up Upstreams) {
 	for name, p := range s.paths {
 		_, address := up.UpstreamAddress(name)
-		if address != "" && (p.isLost || now.Sub(p.checkedAt) < pathMemory) {
+		if address != "" && (p.isLost || s.isPartlyLost(p.service) || now.Sub(p.checkedAt) < pathMemory) {
 			continue
 		}
 		if p.isLost {
@@ -262,7 +312,7 @@
 	}
 	for name, v := range s.services {
 		v.isCut = v.isCut && len(v.failed) > 0
-		if len(v.failed) == 0 && now.Sub(v.sampledAt) >= sampleInterval {
+		if len(v.failed) == 0 && v.partialSince.IsZero() && now.Sub(v.sampledAt) >= sampleInterval {
 			delete(s.services, name)
 		}
 	}
