relay, gateway: Try other upstreams before other ways to a silent one

Now a connection that is not established in time ends the attempt, which costs no retry, and the path is known to be lost for the next one; the upstream is avoided only if the way through a peer fails too.

Several engines that crash together made a daemon that called three of them in a row count as cut until a check, and as without access if a peer had reached another one: the leader gave up the lead. The checks go to upstreams that are not known to be lost now, at once, and two of them have to fail. Test: TestCutFromAllUpstreamsOfService (eight engines of 20), TestUpstreamBehindLostPath.

--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -17,8 +17,8 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// sendAnyWay sends a request over the first way to its upstream that establishes a connection. If err is not nil, failure says what became
-// of the request.
+// sendAnyWay sends a request over the first way to its upstream that establishes a connection, unless a connection takes too long. If err is
+// not nil, failure says what became of the request.
 func (e *exchange) sendAnyWay(ctx context.Context, send dispatch.Send) (*transport.Exchange, dispatch.Failure, error) {
 	began := time.Now()
 	e.via = relay.Peer{}
@@ -37,11 +37,14 @@
 			return nil, dispatch.NotSent, err
 		}
 		e.daemon.connectEnded(send.Upstream(), err)
+		if hop.IsTimeout(err) {
+			return nil, dispatch.NotSent, err // another upstream is faster than another way
+		}
 		lastErr = err
 	}
 	for _, peer := range send.Way().Relays() {
 		answer, failure, err := e.sendThrough(ctx, peer, send.WithTimeLeft(send.TimeLeft()-time.Since(began)))
-		if err == nil || failure != dispatch.NotSent || ctx.Err() != nil {
+		if err == nil || failure != dispatch.NotSent || ctx.Err() != nil || hop.IsTimeout(err) {
 			return answer, failure, err
 		}
 		lastErr = err
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -114,7 +114,9 @@
 	}
 	switch e.failure {
 	case NotSent:
-		a.upstream.avoidUntil = now.Add(failureBackoff)
+		if !a.isDirect || up.Way(now, a.target()).IsDirect() { // the next one goes through a peer otherwise
+			a.upstream.avoidUntil = now.Add(failureBackoff)
+		}
 		s.emit(Suspect{a.target(), "no connection"})
 	case Interrupted:
 		s.emit(Suspect{a.target(), "connection reset"})
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -153,3 +153,17 @@
 		So(sim.count(func(e Effect) bool { _, is := e.(PauseProbes); return is }), ShouldEqual, 1)
 	})
 }
+
+func TestUpstreamBehindLostPath(t *testing.T) {
+	Convey("An upstream is not avoided after a connection that failed if the next call goes through a peer, only if that fails too", t, func() {
+		sim := newSimulation(1, 1)
+		sim.failWith = func(Send) Failure { return NotSent }
+		sim.arrive(1, "large", "/read/x")
+		sim.way = relay.Through(relay.NewPeer("p", "p:1", "a"))
+		sim.run(20 * time.Millisecond)
+		So(sim.state.upstreams["h0"].isAvailable(sim.now), ShouldBeTrue)
+		sim.arrive(2, "large", "/read/x")
+		sim.run(20 * time.Millisecond)
+		So(sim.state.upstreams["h0"].isAvailable(sim.now), ShouldBeFalse)
+	})
+}
--- a/pkg/gateway/fleet_calls_test.go
+++ b/pkg/gateway/fleet_calls_test.go
@@ -139,6 +139,9 @@
 	if delay := d.pathDelay(e.id); delay > 0 {
 		f.after(delay, func() {
 			f.feed(d, NewRelayEvent(relay.NewConnectFailed(send.Upstream(), d.connectTimeout(e.id))))
+			if d.connectTimeout(e.id) > 0 {
+				relays = nil
+			}
 			f.serveThrough(d, send, relays)
 		})
 		return
--- a/pkg/relay/check.go
+++ b/pkg/relay/check.go
@@ -37,20 +37,18 @@
 	s.emit(Check{upstream, address})
 }
 
-// sample checks the paths to some random upstreams of a service: any if this daemon is cut, else those that are not known to be lost.
+// sample checks the paths to some random upstreams of a service: those that are not known to be lost, or any if all are.
 func (s *State) sample(now time.Time, up Upstreams, serviceName string, count int) {
-	v := s.service(serviceName)
-	v.sampledAt = now
+	s.service(serviceName).sampledAt = now
 	names := up.UpstreamNames(serviceName)
-	for _, i := range s.random.Perm(len(names)) {
-		if count == 0 {
-			return
-		}
-		p := s.path(serviceName, names[i])
-		if _, address := up.UpstreamAddress(names[i]); v.isCut || !p.isLost {
-			s.check(now, names[i], address, p)
-			count--
-		}
+	isLost := func(name string) bool { return s.paths[name] != nil && s.paths[name].isLost }
+	candidates := slices.DeleteFunc(slices.Clone(names), isLost)
+	if len(candidates) == 0 {
+		candidates = names
+	}
+	for _, i := range s.random.Perm(len(candidates))[:min(count, len(candidates))] {
+		_, address := up.UpstreamAddress(candidates[i])
+		s.check(now, candidates[i], address, s.path(serviceName, candidates[i]))
 	}
 }
 
--- a/pkg/relay/state.go
+++ b/pkg/relay/state.go
@@ -38,11 +38,17 @@
 	failed map[string]bool // upstreams to which a connection failed since one to any was established
 	isCut  bool            // no connection to any upstream is established
 
+	cutAt        time.Time // since when isCut
+	cutFailures  int       // checks of random upstreams that were made and failed since then
 	isConfirmed  bool      // a peer reaches one of them meanwhile
 	sampledAt    time.Time // when random upstreams were last checked
 	partialSince time.Time // since when a path is lost that a peer does not lack, zero if none is
 }
 
+// isVerified reports whether this daemon is cut from a service that a peer reaches. Some upstreams may have crashed together, so random
+// ones must fail too.
+func (v *service) isVerified() bool { return v.isCut && v.isConfirmed && v.cutFailures >= cutChecks }
+
 // path is the path of this daemon to one upstream.
 type path struct {
 	service     string
@@ -151,7 +157,7 @@
 	if v := s.services[name]; v != nil {
 		clear(v.failed)
 		if v.isCut {
-			v.isCut, v.isConfirmed = false, false
+			v.isCut, v.isConfirmed, v.cutFailures = false, false, 0
 			s.checkAllAt(now, name)
 		}
 	}
@@ -201,6 +207,7 @@
 		return
 	}
 	p, v := s.path(name, e.upstream), s.service(name)
+	wasCheck := p.isChecking
 	p.isChecking = false
 	if e.timeout > 0 && e.timeout < connectTime+connectWaits*s.lag {
 		return
@@ -213,9 +220,14 @@
 		s.emit(PathLost{e.upstream})
 	}
 	p.nextCheck = now.Add(p.interval)
-	if len(v.failed) >= min(cutThreshold, len(up.UpstreamNames(name))) {
-		v.isCut = true
-	} else if now.Sub(v.sampledAt) >= sampleInterval {
+	switch {
+	case v.isCut && wasCheck && !p.checkedAt.Before(v.cutAt):
+		v.cutFailures++
+	case v.isCut:
+	case len(v.failed) >= min(cutThreshold, len(up.UpstreamNames(name))):
+		v.isCut, v.cutAt = true, now
+		s.sample(now, up, name, cutChecks)
+	case now.Sub(v.sampledAt) >= sampleInterval:
 		s.sample(now, up, name, cutThreshold)
 	}
 }
@@ -258,7 +270,7 @@
 		access = s.refreshPartial(now)
 	}
 	for _, v := range s.services {
-		if v.isCut && v.isConfirmed {
+		if v.isVerified() {
 			access = AccessNone
 		}
 	}
--- a/pkg/relay/state_test.go
+++ b/pkg/relay/state_test.go
@@ -118,6 +118,18 @@
 		})
 	})
 
+	Convey("If eight engines crash at the same moment, a daemon that calls them in a row is not cut", t, func() {
+		n := newNode(twoPeers()...)
+		n.lost = func(upstream string) bool { return upstream < "engine-08" && upstream >= "engine" }
+		for i := range 8 {
+			n.connect(fmt.Sprintf("engine-%02d", i))
+			n.feed(NewAnswered("p", "engine-12"))
+		}
+		n.run(300 * time.Millisecond)
+		So(n.accesses, ShouldBeEmpty)
+		So(n.state.IsCut(n.known, "engine-12"), ShouldBeFalse)
+	})
+
 	Convey("If all processes of a service crash, no daemon has lost its paths as far as its peers know", t, func() {
 		n := newNode(twoPeers()...)
 		n.lost = func(upstream string) bool { return strings.HasPrefix(upstream, "desk") }
