--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -75,7 +75,7 @@
 	case outageTopic:
 		delete(s.members.outages, fact.Origin())
 		if len(fact.Value()) > 0 {
-			s.members.outages[fact.Origin()] = decodeOutage(fact)
+			s.members.outages[fact.Origin()] = decodeOutage(fact.Value(), fact.Expiry())
 		}
 		s.members.refreshedAt = time.Time{}
 	case deadTopic:
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -164,10 +164,10 @@
 }
 
 // decodeOutage returns the access that a peer reports. Daemons of earlier versions report only that to the store.
-func decodeOutage(fact peer.LearnFact) outage {
-	o := outage{access: fact.Value()[0], until: fact.Expiry()}
-	if len(fact.Value()) > 1 {
-		o.paths = min(relay.Access(fact.Value()[1]), relay.AccessNone)
+func decodeOutage(value []byte, until time.Time) outage {
+	o := outage{access: value[0], until: until}
+	if len(value) > 1 {
+		o.paths = min(relay.Access(value[1]), relay.AccessNone)
 	}
 	return o
 }
