soak: Disturb the paths of daemons to upstreams

Each daemon reads the list with the addresses of its own proxies in it, so its paths can be cut alone: connections are refused while open ones deliver on or are reset, data is delayed or dropped in one or both directions.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -20,10 +20,11 @@
 
 // proxy forwards TCP connections to target and injects the current fault.
 type proxy struct {
-	listener net.Listener
-	target   string
+	listenAddress string
+	target        string
 
 	mutex     sync.Mutex
+	listener  net.Listener
 	fault     networkFault
 	openConns map[net.Conn]bool // whether the connection is silent
 }
@@ -33,12 +34,38 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, openConns: map[net.Conn]bool{}}
-	go p.accept()
+	p := &proxy{listener: l, listenAddress: l.Addr().String(), target: target, openConns: map[net.Conn]bool{}}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
+
+// refuse makes new connections be refused. Open ones stay, or are reset.
+func (p *proxy) refuse(resetOpen bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_ = p.listener.Close() // it may be closed already
+	for c := range p.openConns {
+		if resetOpen {
+			reset(c)
+		}
+	}
+}
+
+// reopen makes new connections be accepted again.
+func (p *proxy) reopen() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_ = p.listener.Close() // it may be open still
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // setFault sets the fault; connectionsReset also resets the open connections.
 func (p *proxy) setFault(fault networkFault) {
@@ -80,9 +107,9 @@
 	return p.fault
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -55,6 +54,7 @@
 	settingsFile string
 	addresses    []string // of the front, ready, control and directory listeners; the fifth ends the port range
 	storeProxy   *proxy
+	paths        *paths // to the upstreams
 	command      *exec.Cmd
 	log          *os.File
 	exited       chan struct{}
@@ -82,13 +82,6 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 5)), statusCounts: map[int]int{}}
 	s.fleet = &standin.Fleet{Store: &standin.Store{}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: s.fleet.Store}
-	go func() { _ = server.Serve(listener) }() // stopped by Close
-	t.Cleanup(func() { _ = server.Close() })
 	for range engineCount {
 		s.addEngine()
 	}
@@ -104,7 +97,13 @@
 			t.Fatal(err)
 		}
 		p := &process{addresses: addresses, settingsFile: filepath.Join(t.TempDir(), "settings.yaml")}
-		if p.storeProxy, err = newProxy(listener.Addr().String()); err != nil {
+		reachable, store, stop, err := newPaths(s.fleet.Store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(stop)
+		p.paths = reachable
+		if p.storeProxy, err = newProxy(store); err != nil {
 			t.Fatal(err)
 		}
 		s.daemons = append(s.daemons, p)
@@ -283,7 +282,7 @@
 	index := s.random.IntN(daemonCount)
 	p := s.daemons[index]
 	s.snapshots = append(s.snapshots, s.fleet.Store.Snapshot())
-	switch s.random.IntN(12) {
+	switch s.random.IntN(14) {
 	case 0:
 		p.stop()
 		return fmt.Sprintf("kill d%d", index), func() { s.start(p) }
@@ -314,7 +313,7 @@
 		e := s.removeEngine()
 		e.AnnounceLeaving()
 		return "leave " + e.ID(), func() {
-			e.Kill(300 * time.Millisecond)
+			s.kill(e)
 			s.addEngine()
 		}
 	case 9:
@@ -325,12 +324,35 @@
 		e := s.engines[s.random.IntN(len(s.engines))]
 		e.Throttle(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
 		return "throttle at " + e.ID(), func() { e.Throttle(0) }
+	case 11:
+		resetOpen := s.random.IntN(2) == 0
+		p.paths.cut(resetOpen)
+		return fmt.Sprintf("paths of d%d: connections refused, open ones reset: %t", index, resetOpen), func() { s.heal(p) }
+	case 12:
+		fault := networkFault(1 + s.random.IntN(4))
+		p.paths.hang(fault)
+		return fmt.Sprintf("paths of d%d: network fault %d", index, fault), func() { s.heal(p) }
 	}
 	e := s.removeEngine()
-	e.Kill(300 * time.Millisecond)
+	s.kill(e)
 	return "kill " + e.ID(), s.addEngine
 }
 
+// heal ends the faults of a daemon's paths.
+func (s *soak) heal(p *process) {
+	if err := p.paths.heal(); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// kill stops an engine at once.
+func (s *soak) kill(e *standin.Upstream) {
+	for _, p := range s.daemons {
+		p.paths.kill(e.Address())
+	}
+	e.Kill(300 * time.Millisecond)
+}
+
 // removeEngine removes a random engine from those that faults choose from.
 func (s *soak) removeEngine() *standin.Upstream {
 	i := s.random.IntN(len(s.engines))
