relay, gateway: Hold a daemon's reported access for three seconds, and try the next peer if one is not reached

A better access is reported three seconds after the last worse one now. A call whose first peer was not reached in time was sent to another upstream and its own was avoided, as if that had not answered; now the next peer is tried.

--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -44,7 +44,8 @@
 	}
 	for _, peer := range send.Way().Relays() {
 		answer, failure, err := e.sendThrough(ctx, peer, send.WithTimeLeft(send.TimeLeft()-time.Since(began)))
-		if err == nil || failure != dispatch.NotSent || ctx.Err() != nil || hop.IsTimeout(err) {
+		isSilent := errors.Is(err, hop.OutcomeError{Outcome: hop.Unreachable})
+		if err == nil || failure != dispatch.NotSent || ctx.Err() != nil || isSilent {
 			return answer, failure, err
 		}
 		lastErr = err
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -63,9 +63,6 @@
 // OutcomeError is the error of a request without an answer of the upstream.
 type OutcomeError struct{ Outcome Outcome }
 
-// Timeout reports whether the connection to the upstream was not established in time.
-func (e OutcomeError) Timeout() bool { return e.Outcome == Unreachable }
-
 // Error returns the outcome.
 func (e OutcomeError) Error() string { return "request not passed on: " + string(e.Outcome) }
 
--- a/pkg/relay/state.go
+++ b/pkg/relay/state.go
@@ -22,7 +22,7 @@
 	services   map[string]*service // those of which a path was lost lately
 	lostCount  int
 	access     Access
-	impairedAt time.Time // when the access was last not full
+	impairedAt time.Time // when the access was last as bad as it is reported
 	peers      []Peer
 	avoidPeers map[string]time.Time // end of the backoff of a peer that did not pass a request on
 	noPaths    map[pair]time.Time   // the same for peers that have no path to one upstream
@@ -259,8 +259,8 @@
 	}
 }
 
-// impairedHold is how long the access of a daemon is reported as impaired after its last path was restored, so that the lead does not
-// change back and forth.
+// impairedHold is how long the access of a daemon is reported as before after it became better, so that the lead does not change back and
+// forth.
 const impairedHold = 3 * time.Second
 
 // refreshAccess determines the access of this daemon. A lost path counts if a peer reaches its upstream meanwhile.
@@ -274,10 +274,10 @@
 			access = AccessNone
 		}
 	}
-	if access != AccessFull {
+	if access >= s.access {
 		s.impairedAt = now
-	} else if s.access != AccessFull && now.Sub(s.impairedAt) < impairedHold {
-		access = AccessSome
+	} else if now.Sub(s.impairedAt) < impairedHold {
+		access = s.access
 	}
 	if access != s.access {
 		s.access = access
