replica: Give a silent instance calls again if no daemon can probe it

Found on reading: from the second missed probe on, the replica of an instance gets no calls. If the further probes were inconclusive, as all peers that were asked had lost their paths, or paused, as the instance throttled the daemon, nothing probed it again, and this daemon never used the replica any more. The misses are forgotten then, and each inconclusive probe is repeated by another daemon.

--- a/pkg/replica/effect.go
+++ b/pkg/replica/effect.go
@@ -74,7 +74,7 @@
 	id      ID
 	address string
 	timeout time.Duration
-	missed  int
+	missed  int // including inconclusive ones
 }
 
 // ID returns the instance to probe.
@@ -86,7 +86,7 @@
 // Timeout returns how long to wait for the answer.
 func (p Probe) Timeout() time.Duration { return p.timeout }
 
-// Missed returns how many probes in a row were missed before, so that this one is carried out by another daemon.
+// Missed returns how many probes in a row were missed or inconclusive before, so that this one is carried out by another daemon.
 func (p Probe) Missed() int { return p.missed }
 
 // InstanceSilent reports that an instance misses probes, but may still be alive.
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -28,7 +28,7 @@
 		return
 	}
 	if now.Sub(n.lastProbe) >= minSilentTime {
-		n.missedProbes, n.inconclusiveProbes = 0, 0
+		n.forgetMisses()
 	}
 	s.probe(now, id, n)
 }
@@ -38,6 +38,7 @@
 func (s *State) probe(now time.Time, id ID, n *node) {
 	n.probing = !now.Before(n.probesPausedUntil)
 	if !n.probing {
+		n.forgetMisses()
 		return
 	}
 	if s.probesInFlight >= maxProbesInFlight {
@@ -48,7 +49,7 @@
 	s.probesInFlight++
 	n.lastProbe = now
 	n.probeTimeout = min(s.neededProbeTimeout(now), maxProbeTimeout)
-	s.emit(Probe{id, n.address, n.probeTimeout, n.missedProbes})
+	s.emit(Probe{id, n.address, n.probeTimeout, n.missedProbes + n.inconclusiveProbes})
 }
 
 // neededProbeTimeout returns how long a live instance may take to answer a probe, as this daemon sees it.
@@ -93,6 +94,8 @@
 	if e.inconclusive {
 		if n.inconclusiveProbes++; n.inconclusiveProbes <= maxMissedProbes {
 			s.probe(now, e.id, n)
+		} else {
+			n.forgetMisses() // nothing says that it is dead, and without calls nothing would probe it again
 		}
 		return
 	}
@@ -121,6 +124,9 @@
 	}
 }
 
+// forgetMisses makes the next probe the first one of a row.
+func (n *node) forgetMisses() { n.missedProbes, n.inconclusiveProbes = 0, 0 }
+
 // isSilent reports whether an instance misses probes, but may still be alive.
 func (n *node) isSilent() bool { return n.missedProbes >= silentProbes }
 
@@ -153,7 +159,7 @@
 	n.membershipConfirmed = now
 	previous := n.membership
 	s.setDead(n, false)
-	n.missedProbes, n.inconclusiveProbes = 0, 0
+	n.forgetMisses()
 	s.isPlanUrgent = s.isPlanUrgent || isRestarted || report.membership.phase == PhaseBroken && previous.phase != PhaseBroken
 	s.noteEpoch(report.membership.epoch)
 	n.incarnation, n.loadedModel, n.stagedModels = report.incarnation, report.loadedModel, report.stagedModels
--- a/pkg/replica/probe_test.go
+++ b/pkg/replica/probe_test.go
@@ -129,6 +129,29 @@
 		})
 	})
 
+	Convey("A silent instance whose further probes are inconclusive, or paused since it throttles the daemon, gets calls again", t, func() {
+		for _, isPaused := range []bool{false, true} {
+			p := newProber(0)
+			p.expire(0)
+			p.expire(0)
+			So(p.state.nodes["i"].isSilent(), ShouldBeTrue)
+			if isPaused {
+				p.feed(NewProbesPaused("i", p.now.Add(time.Minute)))
+				p.expire(0)
+			}
+			asked := map[int]bool{}
+			for range 20 {
+				asked[p.probe.Missed()] = true
+				p.now = p.now.Add(200 * time.Millisecond)
+				p.feed(NewProbeInconclusive("i"))
+				p.feed(NewTicked())
+			}
+			So(p.dead, ShouldBeFalse)
+			So(p.state.nodes["i"].isSilent(), ShouldBeFalse)
+			So(isPaused || len(asked) > maxMissedProbes, ShouldBeTrue) // each by another daemon
+		}
+	})
+
 	Convey("Probes that no daemon with a path carried out are no evidence", t, func() {
 		p := newProber(0)
 		for range 20 {
