relay, dispatch: Correct two comments and an error

The comment of the kind header named constants that do not exist, that of silentBackoff a renewal that does not happen, and the error of a request that was sent but not answered said that it had not been passed on. No behaviour changes.

--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -11,7 +11,7 @@
 const (
 	headerPrefix    = "Azurepond-"
 	upstreamHeader  = "Azurepond-Upstream" // the name of the upstream
-	kindHeader      = "Azurepond-Kind"     // callKind, onceKind or controlKind
+	kindHeader      = "Azurepond-Kind"     // a Kind
 	outcomeHeader   = "Azurepond-Outcome"
 	unframedHeader  = "Azurepond-Unframed" // 1 if only the end of its connection ended the upstream's answer
 	failureTrailer  = "Azurepond-Failure"  // why the upstream's answer is incomplete
@@ -64,7 +64,7 @@
 type OutcomeError struct{ Outcome Outcome }
 
 // Error returns the outcome.
-func (e OutcomeError) Error() string { return "request not passed on: " + string(e.Outcome) }
+func (e OutcomeError) Error() string { return "no answer through the other daemon: " + string(e.Outcome) }
 
 // Unwrap turns the other daemon's answer into the one that the upstream gave.
 func Unwrap(answer *http.Response) {
--- a/pkg/dispatch/silence.go
+++ b/pkg/dispatch/silence.go
@@ -12,7 +12,7 @@
 // The times of attempts without an answer.
 const (
 	pathCheckDelay = 500 * time.Millisecond // from the send until the path is checked
-	silentBackoff  = 500 * time.Millisecond // of an upstream that does not answer; renewed with each missed probe
+	silentBackoff  = 500 * time.Millisecond // of an upstream that misses probes; it is excluded as silent after that
 )
 
 // checkSilentAttempts checks the paths of attempts that nothing was answered to. An upstream that answers others is only slow.
