--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -64,7 +64,9 @@
 type OutcomeError struct{ Outcome Outcome }
 
 // Error returns the outcome.
-func (e OutcomeError) Error() string { return "no answer through the other daemon: " + string(e.Outcome) }
+func (e OutcomeError) Error() string {
+	return "no answer through the other daemon: " + string(e.Outcome)
+}
 
 // Unwrap turns the other daemon's answer into the one that the upstream gave.
 func Unwrap(answer *http.Response) {
