gateway: Test address lists after the end of half the daemons

The bound is the stability window of the settings and 3 s (7 s). The test kills 3 of 7 and 31 of 62 daemons at once, with connections that close or stay silent, and shuts them down, while two survivors can't reach the store and one joins again. No change was needed.

--- a/pkg/gateway/addresses_test.go
+++ b/pkg/gateway/addresses_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -57,3 +58,70 @@
 		So(len(SelectAddresses(fleetAddresses(8, 3), "10.9.0.1", "c0", limit)), ShouldEqual, 8)
 	})
 }
+
+// addressBound is how long an address list may name a daemon that was killed: the stability window of the settings and 3 s.
+const addressBound = 7 * time.Second
+
+// listedDead returns how long after the kill an address list of a live daemon last named a killed one.
+func (f *fleet) listedDead(killed []*fleetDaemon, until time.Duration) time.Duration {
+	last, killedAt := time.Duration(0), f.now
+	for f.now.Sub(fleetEpoch) < until {
+		f.run(f.now.Sub(fleetEpoch) + 100*time.Millisecond)
+		for _, d := range f.daemons {
+			for _, a := range d.State.addresses {
+				if dead := f.byAddr[a.address]; !d.down && dead.down && slices.Contains(killed, dead) {
+					last = f.now.Sub(killedAt)
+				}
+			}
+		}
+	}
+	return last
+}
+
+// This guards against address lists that name killed or ended daemons for longer than the bound, as when heartbeats of the dead still
+// circulate or are so rare that their absence is noticed late.
+func TestAddressesOfEndedDaemons(t *testing.T) {
+	const killAt, grace = 10 * time.Second, 3 * time.Second
+	for _, size := range []struct{ daemons, killed int }{{7, 3}, {62, 31}} {
+		for _, way := range []string{"killed, which closes their connections", "cut off and killed silently", "shut down and ended"} {
+			Convey(fmt.Sprintf("Of %d daemons %d are %s at once", size.daemons, size.killed, way), t, func() {
+				f := newFleet(fleetSize{daemons: size.daemons, engines: 36, centres: 3, domain: 18, large: 8, small: 2, loadsPerSecond: 77}, time.Hour)
+				f.run(killAt - grace)
+				f.isLimited = true
+				var killed []*fleetDaemon
+				for i, d := range f.daemons {
+					switch {
+					case i%2 == 1 && len(killed) < size.killed:
+						killed = append(killed, d)
+						if way == "shut down and ended" {
+							f.feed(d, NewStopping())
+						}
+					case i == 0, i == 4:
+						f.cutStore(d)
+					case i == 2: // joins again, and learns of the dead from its peers
+						f.after(grace+time.Second, func() { f.restart(d) })
+					}
+				}
+				f.run(killAt)
+				for _, d := range killed {
+					d.life++
+					d.down, d.watching = true, false
+					if way != "cut off and killed silently" {
+						f.closeLinks(d)
+					}
+				}
+				last := f.listedDead(killed, killAt+12*time.Second)
+				Printf("\nan ended daemon was last listed after %v\n", last)
+
+				Convey("and no address list names them after the bound, but most others", func() {
+					So(last, ShouldBeLessThan, addressBound)
+					for _, d := range f.daemons {
+						if !d.down {
+							So(len(d.State.addresses), ShouldBeGreaterThan, (size.daemons-size.killed)*3/4)
+						}
+					}
+				})
+			})
+		}
+	}
+}
