route, dispatch, gateway: Restrict requests to home regions

A route or a tenant may name home-regions; zones in the settings maps data centres to regions. The upstreams of a call are those whose replica is within the regions of both. Slot requests carry the regions, so that owners grant only such slots, and a restricted call that waits keeps no other from a slot elsewhere. Relays are daemons at home. Address lists have the daemons of the caller's region, and all if fewer than two are there. A call without an upstream at home is refused at once.

Without home-regions a call costs one comparison.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -149,7 +149,7 @@
 
 // selectAddresses returns the addresses for a caller.
 func (d *Daemon) selectAddresses(caller, centre string, limit int) []string {
-	return gateway.SelectAddresses(*d.addresses.Load(), caller, centre, limit)
+	return gateway.SelectAddresses(d.settings.Gateway.InRegion(*d.addresses.Load(), centre), caller, centre, limit)
 }
 
 // enqueue sends an event to the reducer.
--- a/internal/gateway/trace_test.go
+++ b/internal/gateway/trace_test.go
@@ -27,7 +27,10 @@
 func (f fakeTargets) NextOpening(now time.Time, _ string) time.Time { return now }
 func (f fakeTargets) Owner(dispatch.Shard) string                   { return "" }
 
-func (f fakeTargets) Way(time.Time, string) relay.Route { return relay.Route{} }
+func (f fakeTargets) Way(time.Time, string, route.Regions) relay.Route { return relay.Route{} }
+
+// IsWithin reports true: all upstreams are in all regions.
+func (fakeTargets) IsWithin(string, route.Regions) bool { return true }
 
 // logSession runs the dispatch state machine and captures its log lines.
 type logSession struct {
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -51,10 +51,11 @@
 // authorise looks up the organisation of a request by its key, and reports whether the request is admitted: its key is
 // known, its route is public, or no organisation is configured.
 func (s *State) authorise(c *call) bool {
-	c.priority = c.route.Priority()
+	c.priority, c.regions = c.route.Priority(), c.route.HomeRegions()
 	organisation, isKnown, noKeyNeeded := s.config.Organisation(c.key)
 	if isKnown {
 		c.organisation, c.priority = organisation.Name(), organisation.Priority(c.priority)
+		c.regions = c.regions.And(organisation.HomeRegions())
 		return true
 	}
 	return c.route.Public() || noKeyNeeded
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -80,7 +80,8 @@
 	service      string
 	organisation string
 	priority     int
-	deadline     time.Time // end of the caller's or the route's timeout
+	regions      route.Regions // whose upstreams it may reach
+	deadline     time.Time     // end of the caller's or the route's timeout
 
 	attempt          *attempt // the running one, nil for none
 	sends            int      // including those that did not run
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -43,6 +43,7 @@
 	lives           map[int]int       // number of the restarts of a daemon
 	crashedAt       []time.Time
 	config          route.Config
+	regions         map[string]string // of upstreams
 }
 
 // clusterCall is a request to one daemon.
@@ -129,7 +130,12 @@
 func (v daemonView) NextOpening(now time.Time, _ string) time.Time { return now }
 
 // Owner returns the daemon that the number of the shard selects, "" if that is this one.
-func (daemonView) Way(time.Time, string) relay.Route { return relay.Route{} }
+func (daemonView) Way(time.Time, string, route.Regions) relay.Route { return relay.Route{} }
+
+// IsWithin reports whether an upstream is in some regions; all upstreams are in all regions unless the test names the region of each.
+func (v daemonView) IsWithin(upstream string, regions route.Regions) bool {
+	return v.regions == nil || regions.Allows(v.regions[upstream])
+}
 
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
--- a/pkg/dispatch/golden_test.go
+++ b/pkg/dispatch/golden_test.go
@@ -48,7 +48,10 @@
 func (p *player) Processes(string) []Target                     { return p.targets }
 func (p *player) NextOpening(now time.Time, _ string) time.Time { return now }
 
-func (*player) Way(time.Time, string) relay.Route { return relay.Route{} }
+func (*player) Way(time.Time, string, route.Regions) relay.Route { return relay.Route{} }
+
+// IsWithin reports true: all upstreams are in all regions.
+func (*player) IsWithin(string, route.Regions) bool { return true }
 
 func (p *player) Owner(Shard) string { return p.owner }
 
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -118,7 +118,7 @@
 	request := SlotRequest{
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
-		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried,
+		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried, regions: c.regions,
 	}
 	if owner != "" {
 		s.emit(RequestSlot{owner, request})
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -114,7 +114,7 @@
 	}
 	switch e.failure {
 	case NotSent:
-		if !a.isDirect || up.Way(now, a.target()).IsDirect() { // the next one goes through a peer otherwise
+		if !a.isDirect || up.Way(now, a.target(), a.call.regions).IsDirect() { // the next one goes through a peer otherwise
 			a.upstream.avoidUntil = now.Add(failureBackoff)
 		}
 		s.emit(Suspect{a.target(), "no connection"})
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // crossCentreCost is the extra cost of an upstream in another data centre, a round trip of a few milliseconds.
@@ -33,7 +35,7 @@
 		s.send(now, up, c, best, upstreams)
 		return
 	}
-	if upstreams == 0 && !s.mayAppear(c) {
+	if upstreams == 0 && (!s.mayAppear(c) || c.regions.IsRestricted() && len(s.targets(up, c)) == 0) {
 		s.giveUp(now, c, NoUpstream, s.retryAfter(now, up, c))
 		return
 	}
@@ -102,9 +104,17 @@
 // targets returns the upstreams that accept a call.
 func (s *State) targets(up Upstreams, c *call) []Target {
 	if s.isModelCall(c) {
-		return up.Replicas(c.model)
+		return within(up, up.Replicas(c.model), c.regions)
+	}
+	return within(up, up.Processes(c.service), c.regions)
+}
+
+// within returns the targets that are in some regions.
+func within(up Upstreams, targets []Target, regions route.Regions) []Target {
+	if !regions.IsRestricted() {
+		return targets
 	}
-	return up.Processes(c.service)
+	return slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return !up.IsWithin(t.name, regions) })
 }
 
 // evaluate returns a target as a candidate for a call, and whether it has room.
@@ -149,7 +159,7 @@
 
 func (s *State) send(now time.Time, up Upstreams, c *call, best candidate, upstreams int) {
 	s.lastAttempt++
-	way := up.Way(now, best.target.name)
+	way := up.Way(now, best.target.name, c.regions)
 	a := &attempt{
 		id: s.lastAttempt, call: c, upstream: best.upstream, sentAt: now, stallTimeout: s.stallTimeout(c, best.target),
 		hasSlot: c.hasSlot, isDirect: way.IsDirect(),
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -28,7 +29,13 @@
 }
 
 // queueKey identifies the calls that wait for the same upstreams.
-func (c *call) queueKey() string { return c.service + "/" + c.model }
+func (c *call) queueKey() string {
+	key := c.service + "/" + c.model
+	if c.regions.IsRestricted() {
+		key += "/" + strings.Join(c.regions.Names(), ",")
+	}
+	return key
+}
 
 func (s *State) answerRate(queueKey string) *rate {
 	r := s.answerRates[queueKey]
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -97,7 +97,10 @@
 }
 
 // Way returns the way through a peer if there is one, else the direct way.
-func (sim *simulation) Way(time.Time, string) relay.Route { return sim.way }
+func (sim *simulation) Way(time.Time, string, route.Regions) relay.Route { return sim.way }
+
+// IsWithin reports true: all upstreams are in all regions.
+func (*simulation) IsWithin(string, route.Regions) bool { return true }
 
 // Owner returns "", which stands for the daemon itself.
 func (sim *simulation) Owner(Shard) string { return "" }
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -14,7 +14,7 @@
 	var best Target
 	var least time.Duration
 	isFound := false
-	for _, t := range s.members(up, request.shard) {
+	for _, t := range within(up, s.members(up, request.shard), request.regions) {
 		replica := table.replica(t.name)
 		replica.dropExpired(now)
 		if slices.Contains(request.tried, t.name) || now.Before(s.upstream(t.name).avoidUntil) ||
@@ -86,7 +86,7 @@
 	return free
 }
 
-// hasReplicas reports whether a replica or process of a shard is listed here.
-func (s *State) hasReplicas(up Upstreams, shard Shard) bool {
-	return len(s.members(up, shard)) > 0
+// hasReplicas reports whether a replica or process of the shard of a request is listed here, in the regions of the call.
+func (s *State) hasReplicas(up Upstreams, request SlotRequest) bool {
+	return len(within(up, s.members(up, request.shard), request.regions)) > 0
 }
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
+)
 
 // SlotRequest is a request for a slot in a shard.
 type SlotRequest struct {
@@ -13,6 +17,7 @@
 	organisation string
 	timeLeft     time.Duration
 	tried        []string
+	regions      route.Regions
 }
 
 // NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
@@ -40,6 +45,15 @@
 	return r
 }
 
+// WithRegions returns the request with the regions whose upstreams the call may reach.
+func (r SlotRequest) WithRegions(regions route.Regions) SlotRequest {
+	r.regions = regions
+	return r
+}
+
+// Regions returns the regions whose upstreams the call may reach.
+func (r SlotRequest) Regions() route.Regions { return r.regions }
+
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -108,13 +108,13 @@
 	table := s.slotTable(request.shard)
 	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
 	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: len(table.waiters) + 1}
-	if !s.hasReplicas(up, request.shard) {
+	if !s.hasReplicas(up, request) {
 		reply.status = SlotNoReplicas
 		return reply
 	}
 	s.refreshLimits(now, up, request.shard)
 	waiter.isExpected = table.takeReturn(now, request)
-	if len(table.waiters) == 0 {
+	if !slices.ContainsFunc(table.waiters, slotWaiter.isUnrestricted) {
 		table.lastSlack = now
 		if target, isFree := s.bestReplica(now, up, request); isFree {
 			table.countOffer(now, waiter)
@@ -193,23 +193,34 @@
 	table.waiters = slices.DeleteFunc(table.waiters, func(w slotWaiter) bool { return now.Sub(w.queuedAt) >= w.maxWait })
 	s.refreshLimits(now, up, shard)
 	s.denyUnservable(now, up, table)
+	var skipped []slotWaiter // restricted to regions without a free slot
 	for len(table.waiters) > 0 {
 		best := slices.MinFunc(table.waiters, func(a, b slotWaiter) int { return table.compare(now, a, b) })
 		target, isFree := s.bestReplica(now, up, best.SlotRequest)
-		if !isFree {
-			return
+		if !isFree && best.isUnrestricted() {
+			break
 		}
 		table.waiters = slices.DeleteFunc(table.waiters, func(w slotWaiter) bool {
 			return w.daemon == best.daemon && w.requestID == best.requestID
 		})
+		if !isFree {
+			skipped = append(skipped, best)
+			continue
+		}
 		if best.isLate(now) || len(table.waiters) == 0 {
 			table.lastSlack = now
 		}
 		s.replySlot(now, up, best, s.grantSlot(now, up, table, best, target))
 	}
-	table.lastSlack = now
+	if len(table.waiters) == 0 {
+		table.lastSlack = now
+	}
+	table.waiters = append(table.waiters, skipped...)
 }
 
+// isUnrestricted reports whether the call may be sent to any upstream of the shard. Only such a waiting call keeps others from a free slot.
+func (w slotWaiter) isUnrestricted() bool { return !w.regions.IsRestricted() }
+
 // denyUnservable denies the waiting requests that are unservable.
 func (s *State) denyUnservable(now time.Time, up Upstreams, table *slotTable) {
 	var denied []slotWaiter
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -45,7 +45,7 @@
 		a.isSuspected = true
 		s.emit(Suspect{a.target(), "stream stalled"})
 	}
-	isPathLost := a.isDirect && !up.Way(now, a.target()).IsDirect()
+	isPathLost := a.isDirect && !up.Way(now, a.target(), a.call.regions).IsDirect()
 	if silence >= maxStallTimeouts*a.stallTimeout || isPathLost && silence >= a.stallTimeout {
 		s.cancelToRetry(now, a)
 	}
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/relay"
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // Load is the load that an upstream reports.
@@ -63,8 +64,10 @@
 	Processes(service string) []Target
 	// Owner returns the daemon that grants the slots of a shard, empty for this one.
 	Owner(shard Shard) string
-	// Way returns the ways to an upstream.
-	Way(now time.Time, upstream string) relay.Route
+	// Way returns the ways to an upstream, through peers in some regions.
+	Way(now time.Time, upstream string, regions route.Regions) relay.Route
+	// IsWithin reports whether an upstream, with all members of its replica, is in some regions.
+	IsWithin(upstream string, regions route.Regions) bool
 }
 
 // How long an upstream that failed gets no new requests.
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -115,6 +115,7 @@
 	case replica.AnnounceDead:
 		s.announceDeath(now, effect.ID())
 	case replica.HeadsChanged:
+		s.centresByUpstream = nil
 		s.reduceDispatch(now, dispatch.NewTicked())
 	case replica.InstanceSilent:
 		if head, isMember := s.replica.HeadOf(effect.ID()); isMember {
--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -47,11 +47,6 @@
 	return u.service, u.instance.Address()
 }
 
-// Way returns the ways to an upstream.
-func (s *State) Way(now time.Time, upstream string) relay.Route {
-	return s.relay.Route(now, s, upstream)
-}
-
 // refreshRelays tells pkg/relay which peers may pass requests on.
 func (s *State) refreshRelays(now time.Time, fresh []peer.Member) {
 	var peers []relay.Peer
@@ -86,7 +81,7 @@
 
 // wayOfOrder returns the peer through which an order goes, none if it goes directly.
 func (s *State) wayOfOrder(now time.Time, id replica.ID) relay.Peer {
-	if way := s.Way(now, string(id)); !way.IsDirect() {
+	if way := s.relay.Route(now, s, string(id)); !way.IsDirect() {
 		return way.Relays()[0]
 	}
 	return relay.Peer{}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -26,6 +26,8 @@
 	shutdownDelay time.Duration
 	watchWait     time.Duration
 	relayPort     uint16
+	region        string
+	regions       map[string]string // by data centre
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; incarnation must be unique to each start
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -16,6 +16,7 @@
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // The topics of messages about slots at replicas and about crashes.
@@ -28,7 +29,7 @@
 
 // The lengths of the encoded arrays, and the limit of the array with one element for each replica.
 const (
-	slotRequestFields = 11
+	slotRequestFields = 12
 	slotReplyFields   = 6
 	crashFields       = 2
 	usageFields       = 3
@@ -150,7 +151,7 @@
 	return []any{
 		r.RequestID(), r.Shard().Model(), r.Shard().Number(), r.PromptTokens(), r.Priority(),
 		r.OnTimeWait().Milliseconds(), r.MaxWait().Milliseconds(), r.Organisation(), r.Shard().Service(),
-		r.TimeLeft().Milliseconds(), r.Tried(),
+		r.TimeLeft().Milliseconds(), r.Tried(), r.Regions().Names(),
 	}
 }
 
@@ -248,9 +249,16 @@
 	for range f.length(maxTried) {
 		tried = append(tried, f.text())
 	}
-	return request.WithHistory(timeLeft, tried...)
+	var regions []string
+	for range f.length(maxRegions) {
+		regions = append(regions, f.text())
+	}
+	return request.WithHistory(timeLeft, tried...).WithRegions(route.NewRegions(regions...))
 }
 
+// maxRegions limits the regions that a slot request names.
+const maxRegions = 64
+
 // maxTried limits the upstreams that a slot request names, which are as many as a call is sent to.
 const maxTried = 16
 
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -58,7 +58,10 @@
 	suspectedAt      map[replica.ID]time.Time // last suspicion of the upstreams that name a limit
 	namesByService   map[string][]string      // of the listed upstreams, nil if it must be determined again
 	relayed          map[RelayID]bool         // requests that are passed on for peers
-	effects          []Effect
+
+	centresByUpstream map[string][]string // of the members, for calls with home regions; nil if they must be determined again
+
+	effects []Effect
 }
 
 // Reduce applies one event that happened at now and returns the effects to execute, in order.
@@ -230,7 +233,7 @@
 }
 
 func (s *State) applyListChanges(now time.Time, changed []Upstream, gone []replica.ID) {
-	s.namesByService = nil
+	s.namesByService, s.centresByUpstream = nil, nil
 	s.listSync.addChanges(changed, gone)
 	var engines []replica.Instance
 	for _, u := range changed {
--- a/pkg/relay/route.go
+++ b/pkg/relay/route.go
@@ -25,7 +25,12 @@
 
 // Route returns the route to an upstream. A request whose path may be lost goes through a peer too, and the path is checked.
 func (s *State) Route(now time.Time, up Upstreams, upstream string) Route {
-	relays := s.pickRelays(now, upstream)
+	return s.RouteWithin(now, up, upstream, func(string) bool { return true })
+}
+
+// RouteWithin returns the route to an upstream that uses only peers in the data centres that isAllowed reports.
+func (s *State) RouteWithin(now time.Time, up Upstreams, upstream string, isAllowed func(centre string) bool) Route {
+	relays := s.pickRelays(now, upstream, isAllowed)
 	if len(relays) == 0 || relays[0].access == AccessNone {
 		return Route{relays: relays}
 	}
@@ -70,10 +75,10 @@
 
 // pickRelays returns random peers for an upstream, larger ones more often. Peers in the own data centre are preferred, unless most of
 // them can't pass requests on: the few others would carry the load of all.
-func (s *State) pickRelays(now time.Time, upstream string) []Peer {
+func (s *State) pickRelays(now time.Time, upstream string, isAllowed func(centre string) bool) []Peer {
 	var near, all []Peer
 	for _, p := range s.candidates(now) {
-		if now.Before(s.noPaths[pair{p.name, upstream}]) {
+		if now.Before(s.noPaths[pair{p.name, upstream}]) || !isAllowed(p.centre) {
 			continue
 		}
 		all = append(all, p)
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -86,14 +86,24 @@
 	name           string
 	priority       int
 	overridesRoute bool
+	homeRegions    Regions
 }
 
 // NewOrganisation returns an organisation; overridesRoute says whether its priority (0 is the most urgent) replaces that of
 // the route.
 func NewOrganisation(name string, priority int, overridesRoute bool) Organisation {
-	return Organisation{name, priority, overridesRoute}
+	return Organisation{name: name, priority: priority, overridesRoute: overridesRoute}
 }
 
+// WithHomeRegions returns the organisation with the regions whose upstreams its requests may reach.
+func (o Organisation) WithHomeRegions(regions Regions) Organisation {
+	o.homeRegions = regions
+	return o
+}
+
+// HomeRegions returns the regions whose upstreams requests may reach.
+func (o Organisation) HomeRegions() Regions { return o.homeRegions }
+
 // Name returns the name of the organisation.
 func (o Organisation) Name() string { return o.name }
 
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -43,6 +43,7 @@
 	public       bool
 	resumable    bool
 	split        []WeightedService
+	homeRegions  Regions
 }
 
 // NewRoute returns the route called name for requests to host whose path begins with prefix.
@@ -87,6 +88,15 @@
 	return r
 }
 
+// WithHomeRegions returns the route with the regions whose upstreams its requests may reach.
+func (r Route) WithHomeRegions(regions Regions) Route {
+	r.homeRegions = regions
+	return r
+}
+
+// HomeRegions returns the regions whose upstreams requests may reach.
+func (r Route) HomeRegions() Regions { return r.homeRegions }
+
 // Name returns the name of the route.
 func (r Route) Name() string { return r.name }
 
