dispatch, gateway: Grant slots in the data centre of the caller's daemon first

Replicas were divided into shards by the hash of their heads, and a call requested a slot in the shard of a random replica. So two thirds of the calls of three data centres crossed between them, and bytes between data centres were the largest price of a deployment.

In a deployment with several data centres each one is a shard of a model, owned by a daemon there.

--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -44,6 +44,8 @@
 	crashedAt       []time.Time
 	config          route.Config
 	regions         map[string]string // of upstreams
+	centres         int               // data centres of daemons and replicas, 0 for none
+	remoteSends     int               // to replicas in another data centre
 }
 
 // clusterCall is a request to one daemon.
@@ -112,6 +114,9 @@
 	if v.self < v.withoutReplicas {
 		return nil
 	}
+	if v.centres > 0 {
+		return v.targetsByCentre()
+	}
 	if v.downTime == 0 {
 		return v.targets
 	}
@@ -139,6 +144,9 @@
 
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
+	if shard.Centre() != "" {
+		owner = slices.IndexFunc(v.daemons, func(d *State) bool { return v.centreOf(slices.Index(v.daemons, d)) == shard.Centre() })
+	}
 	for range v.daemons {
 		if v.mayOwn(v.self, owner) {
 			break
@@ -175,6 +183,7 @@
 			cl.deliver(effect.Owner(), NewUsageReported(name, effect.Usage()))
 		case Send:
 			cl.countArrival(effect.Upstream(), self)
+			cl.countRemote(effect.Upstream(), self)
 			cl.send(cl.calls[effect.ID()], effect)
 		case Cancel:
 			cl.cancel(effect.Attempt(), self)
--- a/pkg/dispatch/golden_test.go
+++ b/pkg/dispatch/golden_test.go
@@ -124,7 +124,7 @@
 			panic(err)
 		}
 		return NewSlotRequested(words[1],
-			NewSlotRequest(number(2), shardOf("m", p.targets[0].name), 500).WithUrgency(0, maxWait/4, maxWait))
+			NewSlotRequest(number(2), shardOf("m", p.targets[0].name, ""), 500).WithUrgency(0, maxWait/4, maxWait))
 	case "usage-reported":
 		return NewUsageReported(words[1], map[string]ReplicaUsage{words[2]: NewReplicaUsage(int(number(3)), 0)})
 	case "stopping":
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -32,14 +32,21 @@
 type Shard struct {
 	service string // empty for replicas
 	model   string
+	centre  string // empty if the replicas of a shard are in any data centre
 	number  uint64
 }
 
-// shardOf returns the shard of a replica, by its head.
-func shardOf(model, head string) Shard {
+// shardOf returns the shard of a replica, by its data centre if that is given and by its head otherwise.
+func shardOf(model, head, centre string) Shard {
+	if centre != "" {
+		return NewCentreShard(model, centre)
+	}
 	return NewShard(model, xxhash.Sum64String(head))
 }
 
+// NewCentreShard returns the shard of the replicas of model in a data centre.
+func NewCentreShard(model, centre string) Shard { return Shard{model: model, centre: centre} }
+
 // NewShard returns a shard of the replicas of model.
 func NewShard(model string, number uint64) Shard {
 	return Shard{model: model, number: number % shardsPerModel}
@@ -54,13 +61,19 @@
 // Model returns the model of the replicas.
 func (s Shard) Model() string { return s.model }
 
+// Centre returns the data centre of the replicas, empty if they may be in any.
+func (s Shard) Centre() string { return s.centre }
+
 // Number returns the number of the shard within its model.
 func (s Shard) Number() uint64 { return s.number }
 
-// String returns the shard as model/number, or as the name of its service.
+// String returns the shard as model/number, as model/centre, or as the name of its service.
 func (s Shard) String() string {
-	if s.service != "" {
+	switch {
+	case s.service != "":
 		return s.service
+	case s.centre != "":
+		return s.model + "/" + s.centre
 	}
 	return s.model + "/" + strconv.FormatUint(s.number, 10)
 }
@@ -91,10 +104,10 @@
 	return requestsSlots(s.policy) && (c.sends == 0 && s.isModelCall(c) || s.hasLimited(up, c))
 }
 
-// shardFor returns the shard of an upstream of a call.
-func (s *State) shardFor(c *call, name string) Shard {
+// shardFor returns the shard of an upstream in a data centre for a call.
+func (s *State) shardFor(c *call, name, centre string) Shard {
 	if s.isModelCall(c) {
-		return shardOf(c.model, name)
+		return shardOf(c.model, name, centre)
 	}
 	return NewServiceShard(c.service)
 }
@@ -127,11 +140,15 @@
 	s.handleSlotReply(now, up, s.decideSlotRequest(now, up, "", request))
 }
 
-// pickShard returns the less loaded of the shards of two random replicas.
+// pickShard returns the shard of this data centre while it has room, and the less loaded of the shards of two random replicas
+// otherwise.
 func (s *State) pickShard(now time.Time, up Upstreams, c *call) (Shard, bool) {
+	if shard, hasRoom := s.localShard(now, up, c); hasRoom {
+		return shard, true
+	}
 	var shards []Shard
 	for _, t := range s.targets(up, c) {
-		if shard := s.shardFor(c, t.name); !slices.Contains(c.deniedShards, shard) && !slices.Contains(c.tried, t.name) {
+		if shard := s.shardFor(c, t.name, t.centre); !slices.Contains(c.deniedShards, shard) && !slices.Contains(c.tried, t.name) {
 			shards = append(shards, shard)
 		}
 	}
@@ -150,7 +167,7 @@
 	replicas := map[Shard]int{}
 	for _, t := range s.targets(up, c) {
 		if !slices.Contains(c.tried, t.name) {
-			replicas[s.shardFor(c, t.name)]++
+			replicas[s.shardFor(c, t.name, t.centre)]++
 		}
 	}
 	var best Shard
@@ -317,7 +334,7 @@
 func (s *State) markUnreported(a *attempt, name string) {
 	if s.isModelCall(a.call) || a.hasSlot {
 		s.unreported[name] = true
-		s.upstream(name).shard = s.shardFor(a.call, name)
+		s.upstream(name).shard = s.shardFor(a.call, name, a.upstream.centre)
 	}
 }
 
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -15,8 +15,13 @@
 // oldestFirst grants slots in order of arrival while an overload lasts.
 type oldestFirst struct{}
 
+// anyCentre requests slots in all data centres alike.
+type anyCentre struct{}
+
 func (arrivalOrder) isPolicy() {}
 
+func (anyCentre) isPolicy() {}
+
 func (noSlots) isPolicy() {}
 
 func (noOverloadLimit) isPolicy() {}
@@ -50,6 +55,15 @@
 	return true
 }
 
+// prefersLocal reports whether calls get slots in the data centre of their daemon first.
+func prefersLocal(p policy) bool {
+	switch p.(type) {
+	case anyCentre:
+		return false
+	}
+	return true
+}
+
 // isYoungestFirst reports whether the youngest call gets the next slot while an overload lasts.
 func isYoungestFirst(p policy) bool {
 	switch p.(type) {
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -35,7 +35,7 @@
 	}
 	var members []Target
 	for _, t := range up.Replicas(shard.model) {
-		if shardOf(shard.model, t.name) == shard {
+		if shardOf(shard.model, t.name, t.centre) == shard {
 			members = append(members, t)
 		}
 	}
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -54,6 +54,12 @@
 // Regions returns the regions whose upstreams the call may reach.
 func (r SlotRequest) Regions() route.Regions { return r.regions }
 
+// WithShard returns the request for a slot of another shard.
+func (r SlotRequest) WithShard(shard Shard) SlotRequest {
+	r.shard = shard
+	return r
+}
+
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -37,12 +37,19 @@
 	isLocal  bool
 	slots    int
 	slowdown float64
+	centre   string
 }
 
 // NewTarget returns an upstream at address (host:port); isLocal means that it is in the daemon's data centre, and slots
 // is the number of requests that it runs at once.
 func NewTarget(name, address string, isLocal bool, slots int) Target {
-	return Target{name, address, isLocal, slots, 1}
+	return Target{name: name, address: address, isLocal: isLocal, slots: slots, slowdown: 1}
+}
+
+// WithCentre returns the target with its data centre, in a deployment with several. The replicas of a data centre form a shard then.
+func (t Target) WithCentre(name string) Target {
+	t.centre = name
+	return t
 }
 
 // WithSlowdown returns the target with the factor on its expected times, relative to other targets.
@@ -80,6 +87,7 @@
 // upstream is the local state of one upstream.
 type upstream struct {
 	running              int
+	centre               string    // of the last request sent there
 	shard                Shard     // whose owner gets usage reports, zero for none
 	reportedTo           string    // the shard owner that got the last usage report
 	pendingPrefillTokens int       // prompt tokens sent, without a first event yet
--- a/pkg/gateway/regions.go
+++ b/pkg/gateway/regions.go
@@ -27,6 +27,9 @@
 	return s.regions[centre]
 }
 
+// hasCentres reports whether the deployment has several data centres.
+func (s Settings) hasCentres() bool { return len(s.regions) > 1 }
+
 // minRegionAddresses is the number of daemons in a region from which on its callers get no addresses of other regions: with fewer, the
 // loss of one would leave callers without any until the next list.
 const minRegionAddresses = 2
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -50,6 +50,7 @@
 	demandReportedAt time.Time
 	demandByDaemon   map[string]daemonDemand // reported to this daemon as the leader
 	shardOwners      []string                // the daemons that count the calls at replicas, the oldest first
+	ownerCentres     map[string]string       // data centres of the shard owners
 	liveNames        []string                // sorted; includes this daemon
 	storeEra         uint64                  // 0 if unknown
 	lag              clock.Lag
@@ -301,6 +302,9 @@
 	for _, h := range heads {
 		target := dispatch.NewTarget(
 			string(h.ID()), h.Address(), h.Centre() == s.settings.centre, engines.Engine().Slots())
+		if s.settings.hasCentres() {
+			target = target.WithCentre(h.Centre())
+		}
 		if h.CrossDomain() {
 			target = target.WithSlowdown(engines.Engine().CrossDomainFactor())
 		}
