--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -43,6 +43,9 @@
 	lives           map[int]int       // number of the restarts of a daemon
 	crashedAt       []time.Time
 	config          route.Config
+	regions         map[string]string // of upstreams
+	centres         int               // data centres of daemons and replicas, 0 for none
+	remoteSends     int               // to replicas in another data centre
 }
 
 // clusterCall is a request to one daemon.
@@ -111,6 +114,9 @@
 	if v.self < v.withoutReplicas {
 		return nil
 	}
+	if v.centres > 0 {
+		return v.targetsByCentre()
+	}
 	if v.downTime == 0 {
 		return v.targets
 	}
@@ -129,10 +135,18 @@
 func (v daemonView) NextOpening(now time.Time, _ string) time.Time { return now }
 
 // Owner returns the daemon that the number of the shard selects, "" if that is this one.
-func (daemonView) Way(time.Time, string) relay.Route { return relay.Route{} }
+func (daemonView) Way(time.Time, string, route.Regions) relay.Route { return relay.Route{} }
+
+// IsWithin reports whether an upstream is in some regions; all upstreams are in all regions unless the test names the region of each.
+func (v daemonView) IsWithin(upstream string, regions route.Regions) bool {
+	return v.regions == nil || regions.Allows(v.regions[upstream])
+}
 
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
+	if shard.Centre() != "" {
+		owner = slices.IndexFunc(v.daemons, func(d *State) bool { return v.centreOf(slices.Index(v.daemons, d)) == shard.Centre() })
+	}
 	for range v.daemons {
 		if v.mayOwn(v.self, owner) {
 			break
@@ -169,6 +183,7 @@
 			cl.deliver(effect.Owner(), NewUsageReported(name, effect.Usage()))
 		case Send:
 			cl.countArrival(effect.Upstream(), self)
+			cl.countRemote(effect.Upstream(), self)
 			cl.send(cl.calls[effect.ID()], effect)
 		case Cancel:
 			cl.cancel(effect.Attempt(), self)
--- a/pkg/dispatch/golden_test.go
+++ b/pkg/dispatch/golden_test.go
@@ -48,7 +48,10 @@
 func (p *player) Processes(string) []Target                     { return p.targets }
 func (p *player) NextOpening(now time.Time, _ string) time.Time { return now }
 
-func (*player) Way(time.Time, string) relay.Route { return relay.Route{} }
+func (*player) Way(time.Time, string, route.Regions) relay.Route { return relay.Route{} }
+
+// IsWithin reports true: all upstreams are in all regions.
+func (*player) IsWithin(string, route.Regions) bool { return true }
 
 func (p *player) Owner(Shard) string { return p.owner }
 
@@ -121,7 +124,7 @@
 			panic(err)
 		}
 		return NewSlotRequested(words[1],
-			NewSlotRequest(number(2), shardOf("m", p.targets[0].name), 500).WithUrgency(0, maxWait/4, maxWait))
+			NewSlotRequest(number(2), shardOf("m", p.targets[0].name, ""), 500).WithUrgency(0, maxWait/4, maxWait))
 	case "usage-reported":
 		return NewUsageReported(words[1], map[string]ReplicaUsage{words[2]: NewReplicaUsage(int(number(3)), 0)})
 	case "stopping":
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/relay"
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // Load is the load that an upstream reports.
@@ -36,12 +37,19 @@
 	isLocal  bool
 	slots    int
 	slowdown float64
+	centre   string
 }
 
 // NewTarget returns an upstream at address (host:port); isLocal means that it is in the daemon's data centre, and slots
 // is the number of requests that it runs at once.
 func NewTarget(name, address string, isLocal bool, slots int) Target {
-	return Target{name, address, isLocal, slots, 1}
+	return Target{name: name, address: address, isLocal: isLocal, slots: slots, slowdown: 1}
+}
+
+// WithCentre returns the target with its data centre, in a deployment with several. The replicas of a data centre form a shard then.
+func (t Target) WithCentre(name string) Target {
+	t.centre = name
+	return t
 }
 
 // WithSlowdown returns the target with the factor on its expected times, relative to other targets.
@@ -63,8 +71,10 @@
 	Processes(service string) []Target
 	// Owner returns the daemon that grants the slots of a shard, empty for this one.
 	Owner(shard Shard) string
-	// Way returns the ways to an upstream.
-	Way(now time.Time, upstream string) relay.Route
+	// Way returns the ways to an upstream, through peers in some regions.
+	Way(now time.Time, upstream string, regions route.Regions) relay.Route
+	// IsWithin reports whether an upstream, with all members of its replica, is in some regions.
+	IsWithin(upstream string, regions route.Regions) bool
 }
 
 // How long an upstream that failed gets no new requests.
@@ -77,6 +87,7 @@
 // upstream is the local state of one upstream.
 type upstream struct {
 	running              int
+	centre               string    // of the last request sent there
 	shard                Shard     // whose owner gets usage reports, zero for none
 	reportedTo           string    // the shard owner that got the last usage report
 	pendingPrefillTokens int       // prompt tokens sent, without a first event yet
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -50,6 +50,7 @@
 	demandReportedAt time.Time
 	demandByDaemon   map[string]daemonDemand // reported to this daemon as the leader
 	shardOwners      []string                // the daemons that count the calls at replicas, the oldest first
+	ownerCentres     map[string]string       // data centres of the shard owners
 	liveNames        []string                // sorted; includes this daemon
 	storeEra         uint64                  // 0 if unknown
 	lag              clock.Lag
@@ -58,7 +59,10 @@
 	suspectedAt      map[replica.ID]time.Time // last suspicion of the upstreams that name a limit
 	namesByService   map[string][]string      // of the listed upstreams, nil if it must be determined again
 	relayed          map[RelayID]bool         // requests that are passed on for peers
-	effects          []Effect
+
+	centresByUpstream map[string][]string // of the members, for calls with home regions; nil if they must be determined again
+
+	effects []Effect
 }
 
 // Reduce applies one event that happened at now and returns the effects to execute, in order.
@@ -230,7 +234,7 @@
 }
 
 func (s *State) applyListChanges(now time.Time, changed []Upstream, gone []replica.ID) {
-	s.namesByService = nil
+	s.namesByService, s.centresByUpstream = nil, nil
 	s.listSync.addChanges(changed, gone)
 	var engines []replica.Instance
 	for _, u := range changed {
@@ -298,6 +302,9 @@
 	for _, h := range heads {
 		target := dispatch.NewTarget(
 			string(h.ID()), h.Address(), h.Centre() == s.settings.centre, engines.Engine().Slots())
+		if s.settings.hasCentres() {
+			target = target.WithCentre(h.Centre())
+		}
 		if h.CrossDomain() {
 			target = target.WithSlowdown(engines.Engine().CrossDomainFactor())
 		}
