--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -18,6 +18,9 @@
 	simReportLag     = 300 * time.Millisecond // reports lag by some hundred ms
 	simStall         = 4 * time.Second
 	simUnlistDelay   = 3600 * time.Millisecond // three missed heartbeats
+
+	simConcurrentLoads   = 6
+	simCrossDomainFactor = 4.0
 )
 
 var simStart = time.Unix(1_700_000_000, 0).UTC()
@@ -59,6 +62,9 @@
 // simulation is a fleet of engines, a store and daemons, with time in fixed steps.
 type simulation struct {
 	now           time.Time
+	models        []route.Model
+	losses        []time.Time // of engines that were replaced
+	emptySince    []time.Time // when engines without a model joined
 	engines       []*simEngine
 	daemons       []*simDaemon
 	storedValue   []byte // the record in the store
@@ -86,7 +92,12 @@
 }
 
 func newSimulation(domains, perDomain, daemons int) *simulation {
-	sim := &simulation{now: simStart, storeUp: true, era: 1}
+	return newModelSimulation(domains, perDomain, daemons, large, small)
+}
+
+// newModelSimulation returns a simulation of engines that run these models.
+func newModelSimulation(domains, perDomain, daemons int, models ...route.Model) *simulation {
+	sim := &simulation{now: simStart, models: models, storeUp: true, era: 1}
 	for d := range domains {
 		for i := range perDomain {
 			sim.engines = append(sim.engines, &simEngine{
@@ -94,9 +105,10 @@
 			})
 		}
 	}
-	engine := route.NewEngine(26, large, small).
+	engine := route.NewEngine(26, models...).
 		WithStepTimes(6*time.Millisecond, 241*time.Microsecond, 5, 46000, 2048).
-		WithLoadLimits(4, 6, 1, simFormationTime)
+		WithCrossDomainFactor(simCrossDomainFactor).
+		WithLoadLimits(4, simConcurrentLoads, 1, simFormationTime)
 	for i := range daemons {
 		name := string(rune('a' + i))
 		d := &simDaemon{name: name, listed: map[ID]Instance{}}
@@ -181,11 +193,7 @@
 
 // checkOpen records a violation if a replica opens before all its members were ready in it.
 func (sim *simulation) checkOpen(head *simEngine) {
-	model := large
-	if head.loadedModel == small.Name() {
-		model = small
-	}
-	if len(head.members) != model.ReplicaSize() {
+	if len(head.members) != sim.model(head.loadedModel).ReplicaSize() {
 		sim.violations = append(sim.violations,
 			fmt.Sprintf("%s opened with %d members", head.membership.replica, len(head.members)))
 	}
@@ -369,7 +377,7 @@
 		}
 	case VerbStage:
 		sim.noteLoad()
-		sim.after(modelOf(o.Model()).LoadTime(), func() { e.stagedModel = o.Model() })
+		sim.after(sim.model(o.Model()).LoadTime(), func() { e.stagedModel = o.Model() })
 	}
 	return ReplyBegun
 }
@@ -381,11 +389,13 @@
 	}
 }
 
-func modelOf(name string) route.Model {
-	if name == small.Name() {
-		return small
+func (sim *simulation) model(name string) route.Model {
+	for _, m := range sim.models {
+		if m.Name() == name {
+			return m
+		}
 	}
-	return large
+	panic("unknown model " + name)
 }
 
 func (sim *simulation) join(e *simEngine, o Order) Reply {
@@ -396,12 +406,12 @@
 		return ReplyDone
 	}
 	sim.checkJoin(e, o)
-	duration := modelOf(o.Model()).LoadTime()
+	duration := sim.model(o.Model()).LoadTime()
 	switch {
 	case e.lastModel == o.Model():
 		duration = rejoinTime
 	case e.stagedModel == o.Model():
-		duration = modelOf(o.Model()).WarmLoadTime()
+		duration = sim.model(o.Model()).WarmLoadTime()
 	default:
 		sim.noteLoad()
 		e.stagedModel = o.Model()
