replica: Stage the model that lacks replicas on members of others, and keep spares out of replicas across domains

Cause: idle instances that return form replicas of the model that their hosts have staged, which hosts of small replicas have for the large model only. Nothing then staged the small model on them, so the plan kept too many large replicas. Staging preferred the model with the highest pressure for each load, without counting what it had decided before. Replicas across domains held the warm instances that a lost member needs, at a quarter of the speed.

Change, while a model lacks replicas: instances form what they have staged, and the model under the highest pressure is staged on as many members of others as should be converted, while they serve. Idle instances are staged by net benefit per load, with the replicas decided before.

--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -28,12 +28,13 @@
 	next     record
 	assigned map[ID]bool
 	changed  bool
-	byDomain map[string][]ID // the instances that are alive and not leaving, sorted
+	byDomain map[string][]ID    // the instances that are alive and not leaving, sorted
+	staged   map[string]float64 // replicas of each model that are to be formed of staged instances
 }
 
 // newDraft returns a draft that starts with the groups of next.
 func (s *State) newDraft(now time.Time, next record) *draft {
-	d := &draft{State: s, now: now, next: next, assigned: map[ID]bool{}, byDomain: map[string][]ID{}}
+	d := &draft{State: s, now: now, next: next, assigned: map[ID]bool{}, byDomain: map[string][]ID{}, staged: map[string]float64{}}
 	for _, id := range s.ids() {
 		if n := s.nodes[id]; n.isAlive() && !n.leaving {
 			d.byDomain[n.domain] = append(d.byDomain[n.domain], id)
@@ -61,14 +62,19 @@
 		d.changed = true
 		d.assign(group{members: d.survivors(g)}) // so that no other repair takes them
 	}
+	var removed []group
+	if d.isScarce() {
+		removed = d.removeCrossDomain() // their members repair others
+	}
 	for _, g := range broken {
 		d.repair(g)
 	}
 	switch {
 	case now.Sub(s.lastArrival) < settleTime && len(s.nodes) >= minFleetToFormEarly:
 		d.formWhileListing()
+		d.restoreCrossDomain(removed)
 	case now.Sub(s.lastArrival) >= settleTime:
-		removed := d.removeCrossDomain()
+		removed = append(removed, d.removeCrossDomain()...)
 		d.form()
 		if d.isScarce() {
 			d.convertScarce()
@@ -76,6 +82,8 @@
 		d.restoreCrossDomain(removed)
 		d.formCrossDomain()
 		d.convert()
+	default:
+		d.restoreCrossDomain(removed)
 	}
 	return d.next, d.changed
 }
@@ -130,6 +138,10 @@
 	if len(members) == 0 {
 		return
 	}
+	if d.isScarce() && d.isCrossDomain(group{members: members}) {
+		d.release(members)
+		return
+	}
 	model, _ := d.engine.Model(g.model)
 	domain := d.nodes[members[0].id].domain
 	missing := model.ReplicaSize() - len(members)
