gateway: Answer requests that are still arriving when a daemon stops

Cause: the daemon ended once the reducer had no active request, and then closed all connections. The reducer does not know a request whose body is still arriving, nor when the last bytes of an answer leave, of callers or of peers, so both could be cut off. The channel that StopAccepting closed had no reader.

Change: when the reducer is done, the servers are shut down: they accept no more connections and wait for the requests in progress, within the grace period. The reducer refuses what still arrives as not run.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -48,7 +48,7 @@
 	bufferedBytes     atomic.Int64 // of answers
 	ctx               context.Context
 	cancel            context.CancelFunc
-	acceptStopped     chan struct{}
+	servers           []*http.Server     // those that Run started
 	stopUpstreamWatch context.CancelFunc // nil while no watch runs
 	stopped           chan struct{}
 
@@ -67,7 +67,7 @@
 	d := &Daemon{
 		settings: s, adapter: adapter, log: &logger{log}, registry: registry, recorder: metrics.NewRecorder(registry),
 		events: make(chan gateway.Event, maxQueuedEvents),
-		ctx:    ctx, cancel: cancel, acceptStopped: make(chan struct{}), stopped: make(chan struct{}),
+		ctx:    ctx, cancel: cancel, stopped: make(chan struct{}),
 		exchanges: map[dispatch.ID]*exchange{}, attemptCancels: map[dispatch.AttemptID]context.CancelFunc{},
 		relayed: map[gateway.RelayID]chan gateway.RelayDecided{},
 	}
@@ -224,6 +224,7 @@
 
 // serveHTTP runs an HTTP server in group until ctx is cancelled.
 func (d *Daemon) serveHTTP(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
+	d.servers = append(d.servers, server)
 	group.Go(func() error {
 		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
@@ -237,8 +238,8 @@
 	})
 }
 
-// waitForStop begins the graceful shutdown when ctx is cancelled. It ends the daemon when the shutdown completes or the
-// grace period is over.
+// waitForStop begins the graceful shutdown when ctx is cancelled. It ends the daemon when all answers were sent or the grace
+// period is over.
 func (d *Daemon) waitForStop(ctx, serveCtx context.Context) error {
 	defer d.cancel()
 	select {
@@ -248,13 +249,29 @@
 	}
 	d.log.Info("daemon", "stopping", "grace", d.settings.GracePeriod)
 	d.enqueue(gateway.NewStopping())
-	grace := time.NewTimer(d.settings.GracePeriod)
-	defer grace.Stop()
+	graceCtx, endGrace := context.WithTimeout(serveCtx, d.settings.GracePeriod)
+	defer endGrace()
 	select {
-	case <-serveCtx.Done():
+	case <-graceCtx.Done():
 	case <-d.stopped:
-	case <-grace.C:
+		d.closeServers(graceCtx)
+	}
+	if graceCtx.Err() != nil {
 		d.log.Info("daemon", "grace period over, aborting requests in progress")
 	}
 	return nil
 }
+
+// closeServers closes the listeners and waits until all answers were sent or ctx ends. The reducer knows neither requests that
+// are still arriving nor when the last bytes of an answer leave, so it can't say when a connection may be closed.
+func (d *Daemon) closeServers(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, server := range d.servers {
+		group.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				d.log.Info("daemon", "connections not closed in time", "err", err.Error())
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -40,7 +40,7 @@
 		d.ready.Store(effect.Ready())
 		d.log.Info("daemon", "ready", "ready", effect.Ready(), "reason", effect.Reason())
 	case gateway.StopAccepting:
-		close(d.acceptStopped)
+		d.log.Info("daemon", "refusing new requests")
 	case gateway.Stopped:
 		close(d.stopped)
 	case gateway.ResetStore:
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -60,7 +60,7 @@
 // Reason returns why the daemon is ready or not.
 func (r Ready) Reason() string { return r.reason }
 
-// StopAccepting tells the driver to accept no new connections, since this daemon stops.
+// StopAccepting tells the driver that new requests are refused from now on, since this daemon stops.
 type StopAccepting struct{}
 
 // Stopped tells the driver that no request is active any more and the process may exit.
