transport: Close connections whose last answer names no request

Cause: an answer on a connection that is in use again is told from a second copy of an earlier one by its request id, but refusals may lack the id. A late copy of such a refusal was taken for the answer to the next request, which was then placed elsewhere or refused as not run although its upstream ran it.

Change: an answer without an id is accepted, and its connection is closed after it. Answers of peers are sent once, so connections to peers are kept.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/gateway"
 	"github.com/azurepond/azurepond/pkg/object"
@@ -18,8 +19,8 @@
 	ParseRequest(id dispatch.ID, r *http.Request, content uint64) dispatch.Request
 	// SetUpstreamHeaders turns the headers of a caller's request into those of the request to an upstream.
 	SetUpstreamHeaders(header http.Header, send dispatch.Send)
-	// MatchesRequest reports whether an answer with these headers belongs to the request with this id.
-	MatchesRequest(answer http.Header, requestID string) bool
+	// MatchRequest returns how an answer with these headers relates to the request with this id.
+	MatchRequest(answer http.Header, requestID string) transport.Match
 	// ClassifyAnswer returns the outcome that the head of an answer reports.
 	ClassifyAnswer(answer *http.Response) Classification
 	// RemoveHopHeaders removes the hop-by-hop headers from an answer.
--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -24,7 +24,7 @@
 	e.via = relay.Peer{}
 	var lastErr error
 	if send.Way().IsDirect() {
-		answer, sent, err := e.daemon.pool.Do(ctx, send.Address(), send.Kind() == route.Once, e.upstreamMessage(send), e.matches)
+		answer, sent, err := e.daemon.pool.Do(ctx, send.Address(), send.Kind() == route.Once, e.upstreamMessage(send), e.match)
 		switch {
 		case err == nil:
 			if answer.IsNewConnection() {
@@ -53,8 +53,17 @@
 	return nil, dispatch.NotSent, lastErr
 }
 
-func (e *exchange) matches(answer http.Header) bool {
-	return e.daemon.adapter.Headers.MatchesRequest(answer, e.name)
+func (e *exchange) match(answer http.Header) transport.Match {
+	return e.daemon.adapter.Headers.MatchRequest(answer, e.name)
+}
+
+// matchHop returns how an answer of a peer relates to the request. A peer sends each answer once, so that it need not name the
+// request.
+func (e *exchange) matchHop(answer http.Header) transport.Match {
+	if hop.OutcomeOf(answer) == "" || e.match(answer) == transport.Foreign {
+		return transport.Foreign
+	}
+	return transport.Own
 }
 
 // relayFailures maps the outcomes of requests that were not sent to the failures of the peer.
@@ -73,8 +82,7 @@
 	}
 	message := e.upstreamMessage(send)
 	hop.Prepare(message.Header, send.Upstream(), kind)
-	answer, sent, err := e.daemon.pool.Do(ctx, peer.Address(), send.Kind() == route.Once, message,
-		func(h http.Header) bool { return hop.OutcomeOf(h) != "" && e.matches(h) })
+	answer, sent, err := e.daemon.pool.Do(ctx, peer.Address(), send.Kind() == route.Once, message, e.matchHop)
 	if err != nil {
 		failure := dispatch.NotSent
 		if sent {
@@ -175,9 +183,9 @@
 	}
 }
 
-// Matches reports whether an answer belongs to a request.
-func (d relayDriver) Matches(answer http.Header, r *http.Request) bool {
-	return d.adapter.Headers.MatchesRequest(answer, d.adapter.Headers.ParseRequest(0, r, 0).Name())
+// Match returns how an answer relates to a request.
+func (d relayDriver) Match(answer http.Header, r *http.Request) transport.Match {
+	return d.adapter.Headers.MatchRequest(answer, d.adapter.Headers.ParseRequest(0, r, 0).Name())
 }
 
 // RemoveHopHeaders removes the hop-by-hop headers.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,8 +39,11 @@
 	}
 }
 
-func (d *driver) Matches(answer http.Header, r *http.Request) bool {
-	return answer.Get(requestID) == r.Header.Get(requestID)
+func (d *driver) Match(answer http.Header, r *http.Request) transport.Match {
+	if answer.Get(requestID) != r.Header.Get(requestID) {
+		return transport.Foreign
+	}
+	return transport.Own
 }
 
 func (d *driver) RemoveHopHeaders(header http.Header) {
@@ -107,7 +110,12 @@
 	Prepare(header, "up", Call)
 	return h.pool.Do(ctx, strings.TrimPrefix(h.relay.URL, "http://"), false,
 		transport.RawRequest{Method: http.MethodPost, Target: "/a%2Fb/?q=1", Host: "pond", Header: header, Body: []byte(body)},
-		func(answer http.Header) bool { return OutcomeOf(answer) != "" })
+		func(answer http.Header) transport.Match {
+			if OutcomeOf(answer) == "" {
+				return transport.Foreign
+			}
+			return transport.Own
+		})
 }
 
 func echo(w http.ResponseWriter, r *http.Request) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -21,8 +21,8 @@
 type Driver interface {
 	// Admit decides whether a request is passed on; end must be called when an admitted one has ended.
 	Admit(ctx context.Context, upstream string, kind Kind) (decision Decision, end func())
-	// Matches reports whether an answer with these headers belongs to a request.
-	Matches(answer http.Header, request *http.Request) bool
+	// Match returns how an answer with these headers relates to a request.
+	Match(answer http.Header, request *http.Request) transport.Match
 	// RemoveHopHeaders removes the hop-by-hop headers.
 	RemoveHopHeaders(header http.Header)
 	// Observe handles the head of an upstream's answer.
@@ -64,7 +64,7 @@
 	s.driver.RemoveHopHeaders(header)
 	answer, sent, err := s.pool.Do(r.Context(), decision.Address, kind == Once,
 		transport.RawRequest{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: body},
-		func(h http.Header) bool { return s.driver.Matches(h, r) })
+		func(h http.Header) transport.Match { return s.driver.Match(h, r) })
 	if err != nil {
 		s.fail(w, r, upstream, sent, err)
 		return
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -49,7 +49,12 @@
 			sentBytes := make(chan int, 1)
 			go func() { sentBytes <- serveEndless(listener, test.head, test.chunk) }()
 			var pool Pool
-			isOwn := func(h http.Header) bool { return h.Get("X-Request-Id") != "other" }
+			isOwn := func(h http.Header) Match {
+				if h.Get("X-Request-Id") == "other" {
+					return Foreign
+				}
+				return Own
+			}
 			exchange, sent, err := pool.Do(context.Background(), listener.Addr().String(), true, RawRequest{Method: "GET", Target: "/", Host: "h"}, isOwn)
 			if err == nil {
 				exchange.Abort()
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -34,18 +34,33 @@
 // ErrResponseMismatch says that the connection only delivered responses to other requests.
 var ErrResponseMismatch = errors.New("the responses on the connection belong to other requests")
 
+// Match is how an answer relates to a request.
+type Match uint8
+
+// The matches of an answer.
+const (
+	// Foreign means that the answer belongs to another request.
+	Foreign Match = iota
+	// Unidentified means that the answer names no request. It is accepted, but its connection is not used again: a later copy of it
+	// could not be told from the answer to the next request.
+	Unidentified
+	// Own means that the answer belongs to the request.
+	Own
+)
+
 // Exchange is a request that was sent and its response. The caller of Pool.Do reads the body of the response, and then
 // calls Close or Abort.
 type Exchange struct {
 	Response   *http.Response
 	conn       *Conn
 	written    chan error
+	match      Match
 	stopCancel func() bool
 }
 
-// Do sends a request over a connection to address and returns the first response that accept accepts. If err is not
+// Do sends a request over a connection to address and returns the first response that is not Foreign by match. If err is not
 // nil, sent reports whether any byte may have left this process. When ctx ends, the connection is closed.
-func (p *Pool) Do(ctx context.Context, address string, forceNew bool, request RawRequest, accept func(http.Header) bool) (
+func (p *Pool) Do(ctx context.Context, address string, forceNew bool, request RawRequest, match func(http.Header) Match) (
 	exchange *Exchange, sent bool, err error,
 ) {
 	conn, err := p.Get(ctx, address, forceNew)
@@ -62,7 +77,7 @@
 		e.Abort()
 		return nil, sent, err
 	}
-	if err := e.awaitResponse(request.Method, accept); err != nil {
+	if err := e.awaitResponse(request.Method, match); err != nil {
 		e.Abort()
 		return nil, true, err
 	}
@@ -108,8 +123,8 @@
 	return strings.NewReplacer("\r", " ", "\n", " ").Replace(value)
 }
 
-// awaitResponse reads responses until accept accepts one.
-func (e *Exchange) awaitResponse(method string, accept func(http.Header) bool) error {
+// awaitResponse reads responses until one is not Foreign.
+func (e *Exchange) awaitResponse(method string, match func(http.Header) Match) error {
 	e.conn.limitHead()
 	defer e.conn.unlimitHead()
 	for range maxResponsesPerRequest {
@@ -120,7 +135,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if accept(response.Header) {
+		if e.match = match(response.Header); e.match != Foreign {
 			e.Response = response
 			return nil
 		}
@@ -180,7 +195,7 @@
 	}
 	r := e.Response
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return framed && !r.Close && e.conn.reader.Buffered() == 0
+	return e.match == Own && framed && !r.Close && e.conn.reader.Buffered() == 0
 }
 
 // Abort ends an exchange and closes its connection.
