gateway: Reset connections of HTTP/1.0 callers whose answer is cut off

Cause: an answer without a length goes to a caller with HTTP/1.0 until the connection ends. If its upstream cut it off, the daemon closed the connection as usual, and the caller took a truncated answer for a complete one.

Change: while such an answer is forwarded, closing the connection is a reset (SO_LINGER 0), also at the end of the process. Answers that were buffered have a length.

Result: TestTruncatedAnswer fails before (the caller reads to the end without an error) and passes. Its other part, answers cut off by length, in chunks and by a reset without a length, for the three kinds of routes, directly and through a peer, passed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/transport"
@@ -34,8 +35,11 @@
 }
 
 // writeTo writes the answer to the caller.
-func (a *bufferedAnswer) writeTo(w http.ResponseWriter) {
+func (a *bufferedAnswer) writeTo(w http.ResponseWriter, r *http.Request) {
 	copyHeader(w.Header(), a.header)
+	if isUnframed(r) && r.Method != http.MethodHead {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body) // the request's context reports a disconnected caller to the reducer
 }
@@ -163,7 +167,7 @@
 	}
 	e.keepAnswer(answer, body)
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
-	e.buffered.writeTo(e.writer)
+	e.buffered.writeTo(e.writer, e.request)
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
@@ -180,6 +184,7 @@
 		return false
 	}
 	answer.Close()
+	e.endUnframed()
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -50,6 +50,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withCallerConn,
 	}
 	return server
 }
@@ -143,7 +144,7 @@
 		if e.headSent {
 			panic(http.ErrAbortHandler)
 		}
-		e.buffered.writeTo(e.writer)
+		e.buffered.writeTo(e.writer, e.request)
 	case dispatch.Drop:
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,6 +94,7 @@
 		return false
 	}
 	answer.Close()
+	e.endUnframed()
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
@@ -146,6 +147,7 @@
 		return
 	}
 	e.headSent = true
+	e.beginUnframed()
 	header := response.Header.Clone()
 	e.daemon.adapter.Headers.RemoveHopHeaders(header)
 	header.Del("Content-Length")
