gateway: Answer 502 for an upstream's 503 or 429 to a call that ran

Cause: an error answer of an upstream that ran a call was forwarded with its status. 429 and 503 tell a caller that its request was not run and never will be; an upstream says that with X-Not-Run, and such answers are handled apart.

Change: the answer is forwarded with status 502 and without Retry-After.

Result: TestLostAnswer fails before (503 for a call that ran once) and passes. Its other parts (the connection ends, is reset or ends within the head after the call ran, an unsigned 503, the peer is lost while the call runs; three kinds of routes, directly and through a peer) passed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,6 +44,16 @@
 	_, _ = w.Write(a.body) // the request's context reports a disconnected caller to the reducer
 }
 
+// asOneThatRan returns the error answer of an upstream that ran the request, without what would tell the caller that it did not run.
+func (a *bufferedAnswer) asOneThatRan() *bufferedAnswer {
+	if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
+		return a
+	}
+	header := a.header.Clone()
+	header.Del("Retry-After")
+	return &bufferedAnswer{http.StatusBadGateway, header, a.body}
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -144,7 +144,7 @@
 		if e.headSent {
 			panic(http.ErrAbortHandler)
 		}
-		e.buffered.writeTo(e.writer, e.request)
+		e.buffered.asOneThatRan().writeTo(e.writer, e.request)
 	case dispatch.Drop:
 		panic(http.ErrAbortHandler)
 	}
