dispatch: Refuse a cancelled call that was not sent as not run

Cause: an attempt that was cancelled counted as one that may have run, also if its connection was not established yet. At its deadline such a call ended with 504, and after the loss of its replica it ended with 502 or spent one of its runs. The upstream was blamed for it, and also if the caller was gone before the send.

Change: an attempt that is known not to have run keeps its failure when it is cancelled. A call that no upstream may have run is refused as not run at its deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,7 @@
 	e.daemon.addAttempt(send.Attempt(), cancel)
 	defer e.daemon.removeAttempt(send.Attempt())
 	if e.request.Context().Err() != nil {
+		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
 		e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.NotSent))
 		return false
 	}
@@ -118,7 +119,7 @@
 // reportFailure reports a failed attempt to the reducer, as halted if its context was cancelled.
 func (e *exchange) reportFailure(ctx context.Context, failed dispatch.Failed) {
 	if ctx.Err() != nil {
-		failed = failed.WithFailure(dispatch.Halted)
+		failed = failed.AsCancelled()
 	}
 	if e.headSent {
 		failed = failed.WithProgress(e.lastEventID)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -117,6 +117,23 @@
 	})
 }
 
+func TestCancelledAttempt(t *testing.T) {
+	Convey("A cancelled attempt is halted, unless it is known not to have run", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var send dispatch.Send
+		for failure, reported := range map[dispatch.Failure]dispatch.Failure{
+			dispatch.NotSent: dispatch.NotSent, dispatch.NotRun: dispatch.NotRun,
+			dispatch.Interrupted: dispatch.Halted, dispatch.RelayLost: dispatch.Halted,
+		} {
+			d := &Daemon{events: make(chan gateway.Event, 1), log: &logger{}, ctx: context.Background()}
+			e := &exchange{daemon: d}
+			e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), failure))
+			So(<-d.events, ShouldResemble, gateway.NewDispatchEvent(dispatch.NewFailed(send.Attempt(), reported)))
+		}
+	})
+}
+
 func TestReadEvent(t *testing.T) {
 	Convey("An event longer than the buffer is read completely", t, func() {
 		longEvent := "id: 1\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -78,6 +78,14 @@
 	return f
 }
 
+// AsCancelled returns the event for an attempt that a Cancel effect ended. It is Halted unless the request is known not to have run.
+func (f Failed) AsCancelled() Failed {
+	if f.failure.ran() {
+		f.failure = Halted
+	}
+	return f
+}
+
 // WithFault returns the event with the upstream that caused the failure, as named by the upstream that responded, and
 // the load that came with the response.
 func (f Failed) WithFault(faultyUpstream string, load Load) Failed {
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -114,6 +114,9 @@
 	}
 	switch e.failure {
 	case NotSent:
+		if a.isCancelled {
+			return // the upstream did not refuse it
+		}
 		if !a.isDirect || up.Way(now, a.target()).IsDirect() { // the next one goes through a peer otherwise
 			a.upstream.avoidUntil = now.Add(failureBackoff)
 		}
@@ -207,6 +210,10 @@
 
 // finishHalted ends a call whose cancelled attempt has ended.
 func (s *State) finishHalted(now time.Time, c *call, upstream string) {
+	if fail, isFail := c.finalEffect.(Fail); isFail && c.runs == 0 && !c.hasPartialAnswer {
+		s.refuse(now, c, fail.reason, 0)
+		return
+	}
 	s.emit(c.finalEffect)
 	switch effect := c.finalEffect.(type) {
 	case Fail:
