gateway: Refuse a call whose body is too large for peers as not run

Cause: a peer closes the connection of a request with a body above 16 MiB, which a configuration may allow. The daemon could not tell that from a peer lost while the call ran, and answered 502 to a call that was never sent to an upstream.

Change: a daemon sends no such body to a peer; the call counts as not sent.

--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +18,8 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
+var errBodyTooLargeForRelay = errors.New("body exceeds the size limit of peers")
+
 // sendAnyWay sends a request over the first way to its upstream that establishes a connection, unless a connection takes too long. If err is
 // not nil, failure says what became of the request.
 func (e *exchange) sendAnyWay(ctx context.Context, send dispatch.Send) (*transport.Exchange, dispatch.Failure, error) {
@@ -42,7 +45,11 @@
 		}
 		lastErr = err
 	}
-	for _, peer := range send.Way().Relays() {
+	relays := send.Way().Relays()
+	if len(e.body) > hop.MaxBodyBytes && len(relays) > 0 {
+		return nil, dispatch.NotSent, fmt.Errorf("%w: %d bytes, limit %d", errBodyTooLargeForRelay, len(e.body), hop.MaxBodyBytes)
+	}
+	for _, peer := range relays {
 		answer, failure, err := e.sendThrough(ctx, peer, send.WithTimeLeft(send.TimeLeft()-time.Since(began)))
 		isSilent := errors.Is(err, hop.OutcomeError{Outcome: hop.Unreachable})
 		if err == nil || failure != dispatch.NotSent || ctx.Err() != nil || isSilent {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -40,16 +40,16 @@
 // NewServer returns a server that uses the connections of a pool.
 func NewServer(pool *transport.Pool, driver Driver) *Server { return &Server{pool, driver} }
 
-// The limits of requests between daemons.
-const (
-	maxBodyBytes = 16 << 20
-	copyBytes    = 8 << 10 // that are forwarded at once
-)
+// MaxBodyBytes limits the body of a request that one daemon sends through another.
+const MaxBodyBytes = 16 << 20
+
+// copyBytes is how much of an answer is forwarded at once.
+const copyBytes = 8 << 10
 
 // ServeHTTP passes one request on.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	upstream, kind := r.Header.Get(upstreamHeader), Kind(r.Header.Get(kindHeader))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
