dispatch: Keep a call at a silent upstream if there is no other one

Cause: an attempt without progress was cancelled to retry it elsewhere, also if the call had no other upstream. The call then ended with 502, although an upstream that is silent for a second or more may go on, and its answer was discarded.

Change: an attempt is cancelled only if there is an upstream that the call was not sent to. A call for a model without an answer yet may still wait for another replica. The stalls of a stream are reported again, so that it moves once another upstream appears.

--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -225,20 +225,23 @@
 
 // handleReplicaBroken cancels the attempts at a broken replica that can be retried elsewhere; the others stay, since
 // the replica may recover.
-func (s *State) handleReplicaBroken(now time.Time, head string) {
+func (s *State) handleReplicaBroken(now time.Time, up Upstreams, head string) {
 	u := s.upstream(head)
 	u.avoidUntil = now.Add(deadBackoff)
 	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
 		a := s.attempts[id]
 		if a.upstream == u {
-			s.cancelToRetry(now, a)
+			s.cancelToRetry(now, up, a)
 		}
 	}
 }
 
 // cancelToRetry cancels an attempt if its call may be retried elsewhere, and takes the retry from the budget.
-func (s *State) cancelToRetry(now time.Time, a *attempt) {
+func (s *State) cancelToRetry(now time.Time, up Upstreams, a *attempt) {
 	c := a.call
+	if s.mustStay(up, a) {
+		return
+	}
 	isAllowed := c.route.Retryable() && c.runs+1 < c.route.MaxAttempts() && c.sends < maxSends
 	if a.isCancelled || !isAllowed || !s.budget(c.service).takeRetry(now, s.settings.retries, s.budgetPeers) {
 		return
@@ -246,3 +249,9 @@
 	a.isCancelled, c.isRetryCounted = true, true
 	s.emit(Cancel{a.id})
 }
+
+// mustStay reports whether there is no other upstream for the call of an attempt, which would be abandoned if the attempt was cancelled.
+// A call for a model that was not answered may wait for another replica; the stalls of one that was are reported again.
+func (s *State) mustStay(up Upstreams, a *attempt) bool {
+	return !s.hasUntried(up, a.call) && (a.isStarted || !s.mayAppear(a.call))
+}
--- a/pkg/dispatch/silence.go
+++ b/pkg/dispatch/silence.go
@@ -33,22 +33,22 @@
 
 // handlePathLost sends the calls again whose attempts at an upstream are silent since the path to it was lost. Open connections may still
 // deliver, so other attempts go on.
-func (s *State) handlePathLost(now time.Time, name string) {
+func (s *State) handlePathLost(now time.Time, up Upstreams, name string) {
 	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
 		a := s.attempts[id]
 		if a.isDirect && a.target() == name && (a.isSuspected || !a.isStarted && now.Sub(a.sentAt) >= pathCheckDelay) {
-			s.cancelToRetry(now, a)
+			s.cancelToRetry(now, up, a)
 		}
 	}
 }
 
 // handleReplicaSilent sends no new calls to a replica, and sends those again that are stalled there.
-func (s *State) handleReplicaSilent(now time.Time, head string) {
+func (s *State) handleReplicaSilent(now time.Time, up Upstreams, head string) {
 	u := s.upstream(head)
 	u.avoidUntil = now.Add(silentBackoff)
 	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
 		if a := s.attempts[id]; a.upstream == u && a.isSuspected {
-			s.cancelToRetry(now, a)
+			s.cancelToRetry(now, up, a)
 		}
 	}
 }
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -47,6 +47,6 @@
 	}
 	isPathLost := a.isDirect && !up.Way(now, a.target()).IsDirect()
 	if silence >= maxStallTimeouts*a.stallTimeout || isPathLost && silence >= a.stallTimeout {
-		s.cancelToRetry(now, a)
+		s.cancelToRetry(now, up, a)
 	}
 }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -125,11 +125,11 @@
 	case CallerLeft:
 		s.handleCallerLeft(now, e.id)
 	case ReplicaBroken:
-		s.handleReplicaBroken(now, e.head)
+		s.handleReplicaBroken(now, up, e.head)
 	case ReplicaSilent:
-		s.handleReplicaSilent(now, e.head)
+		s.handleReplicaSilent(now, up, e.head)
 	case PathLost:
-		s.handlePathLost(now, e.upstream)
+		s.handlePathLost(now, up, e.upstream)
 	case UpstreamThrottled:
 		s.throttle(s.upstream(e.upstream), e.upstream, now.Add(e.wait))
 	case BudgetPeersChanged:
