dispatch: Do not take a stream whose prompt is being read for stalled

Cause: the stall timeout (250 ms or three event intervals) ran from the head of the answer, also while the engine read a long prompt or those before it. After four timeouts a healthy stream was started again elsewhere, and its upstream was suspected after one.

Change: until the first event, the expected time to read the prompts that were sent to the replica does not count, up to 10 s, since callers state their tokens.

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -116,6 +116,7 @@
 	upstream     *upstream
 	sentAt       time.Time
 	stallTimeout time.Duration
+	promptTime   time.Duration // expected, until its prompt and those before it are read
 	isStarted    bool
 	hasEvent     bool // the first event was received
 	isSuspected  bool // its upstream was reported as suspect, since the stream stalled
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -152,7 +152,7 @@
 	way := up.Way(now, best.target.name)
 	a := &attempt{
 		id: s.lastAttempt, call: c, upstream: best.upstream, sentAt: now, stallTimeout: s.stallTimeout(c, best.target),
-		hasSlot: c.hasSlot, isDirect: way.IsDirect(),
+		promptTime: s.promptTime(c, best), hasSlot: c.hasSlot, isDirect: way.IsDirect(),
 	}
 	c.hasSlot = false
 	s.attempts[a.id] = a
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -22,6 +22,23 @@
 	return max(minStallTimeout, stallIntervals*interval)
 }
 
+// promptTime returns the expected time until a replica has read the prompt of a call and those that were sent before it, 0 for a plain
+// service. A stream without an event within it is not stalled: a prompt of 46,000 tokens takes a second.
+func (s *State) promptTime(c *call, at candidate) time.Duration {
+	if !s.isModelCall(c) {
+		return 0
+	}
+	engine, model := s.engineOf(c)
+	tokens := min(at.upstream.pendingPrefillTokens, maxPromptTokens) + min(c.promptTokens, maxPromptTokens)
+	return min(time.Duration(float64(engine.Read(model, tokens))*at.target.slowdown), maxPromptTime)
+}
+
+// The limits of promptTime, since callers state the tokens of their prompts.
+const (
+	maxPromptTime   = 10 * time.Second
+	maxPromptTokens = 1 << 30 // whose time can be represented
+)
+
 // maxStallTimeouts is the number of stall timeouts after which a stream is retried elsewhere, even if all members of
 // its replica respond: one may be cut off from the others. Together the timeouts stay below the two seconds after which
 // callers give up.
@@ -41,6 +58,9 @@
 		a.isSuspected = false // this stall is a new one
 	}
 	silence := time.Duration(e.timeouts)*a.stallTimeout - stallWaits*s.lag.Recent(now)
+	if !a.hasEvent {
+		silence -= a.promptTime
+	}
 	if silence >= a.stallTimeout && !a.isSuspected {
 		a.isSuspected = true
 		s.emit(Suspect{a.target(), "stream stalled"})
