--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/transport"
@@ -34,12 +35,25 @@
 }
 
 // writeTo writes the answer to the caller.
-func (a *bufferedAnswer) writeTo(w http.ResponseWriter) {
+func (a *bufferedAnswer) writeTo(w http.ResponseWriter, r *http.Request) {
 	copyHeader(w.Header(), a.header)
+	if isUnframed(r) && r.Method != http.MethodHead {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body) // the request's context reports a disconnected caller to the reducer
 }
 
+// asOneThatRan returns the error answer of an upstream that ran the request, without what would tell the caller that it did not run.
+func (a *bufferedAnswer) asOneThatRan() *bufferedAnswer {
+	if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
+		return a
+	}
+	header := a.header.Clone()
+	header.Del("Retry-After")
+	return &bufferedAnswer{http.StatusBadGateway, header, a.body}
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
@@ -53,6 +67,7 @@
 	e.daemon.addAttempt(send.Attempt(), cancel)
 	defer e.daemon.removeAttempt(send.Attempt())
 	if e.request.Context().Err() != nil {
+		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
 		e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.NotSent))
 		return false
 	}
@@ -104,7 +119,7 @@
 // reportFailure reports a failed attempt to the reducer, as halted if its context was cancelled.
 func (e *exchange) reportFailure(ctx context.Context, failed dispatch.Failed) {
 	if ctx.Err() != nil {
-		failed = failed.WithFailure(dispatch.Halted)
+		failed = failed.AsCancelled()
 	}
 	if e.headSent {
 		failed = failed.WithProgress(e.lastEventID)
@@ -163,7 +178,7 @@
 	}
 	e.keepAnswer(answer, body)
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
-	e.buffered.writeTo(e.writer)
+	e.buffered.writeTo(e.writer, e.request)
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
@@ -180,6 +195,7 @@
 		return false
 	}
 	answer.Close()
+	e.endUnframed()
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
