replica: Form replicas of warm instances at equal load times

An instance that has just started is cold for some seconds: it tolerates only a low rate of requests. Replicas were formed without regard to that, so a cold instance became the head, which gets the requests, while a warm one with the same load time was a member or idle.

Instances have the time until which they are cold. At equal load times the ones that are cold for the shortest time are taken first, so that the warmest member is the head, and of equal domains the one with the warmest head. Without cold instances the plan is as before: all tests of the package pass unchanged.

--- a/pkg/replica/instance.go
+++ b/pkg/replica/instance.go
@@ -1,5 +1,7 @@
 package replica
 
+import "time"
+
 // ID names one instance.
 type ID string
 
@@ -87,6 +89,7 @@
 	loadedModel  string
 	stagedModels []string
 	membership   Membership
+	coldUntil    time.Time
 }
 
 // NewInstance returns the instance at address (host:port) in a fabric domain of a data centre. A later start has a higher
@@ -107,6 +110,18 @@
 	return i
 }
 
+// WithColdUntil returns the instance with the time until which it is cold: it tolerates a low rate of requests.
+func (i Instance) WithColdUntil(until time.Time) Instance {
+	i.coldUntil = until
+	return i
+}
+
+// ColdUntil returns the time until which the instance is cold, which may have passed.
+func (i Instance) ColdUntil() time.Time { return i.coldUntil }
+
+// coldLeft returns for how much longer the instance is cold.
+func (i Instance) coldLeft(now time.Time) time.Duration { return max(i.coldUntil.Sub(now), 0) }
+
 // MergeOlder returns an instance as an older snapshot of the store has it, with what is known of it since: a later start, that it
 // leaves, and a newer membership.
 func (i Instance) MergeOlder(older Instance) Instance {
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -179,7 +180,7 @@
 }
 
 // idle returns the unassigned instances of a fabric domain that are alive and not leaving, those that load model fastest
-// first.
+// first, and of these the ones that are cold for the shortest time.
 func (d *draft) idle(domain string, model route.Model) []ID {
 	var free []ID
 	for _, id := range d.byDomain[domain] {
@@ -188,7 +189,10 @@
 		}
 	}
 	slices.SortStableFunc(free, func(a, b ID) int {
-		return int(d.nodes[a].loadTime(model) - d.nodes[b].loadTime(model))
+		return cmp.Or(
+			cmp.Compare(d.nodes[a].loadTime(model), d.nodes[b].loadTime(model)),
+			cmp.Compare(d.nodes[a].coldLeft(d.now), d.nodes[b].coldLeft(d.now)),
+		)
 	})
 	return free
 }
@@ -232,11 +236,11 @@
 }
 
 // fastestMembers returns the idle instances of the domain that can form a replica of model first, nil if there are too few.
-// Of equal domains it chooses the one with the most idle instances, so that small replicas share domains with large ones and
+// Of equal domains it chooses the one whose instances are cold for the shortest time, then the one with the most idle instances, so that small replicas share domains with large ones and
 // can give them members.
 func (d *draft) fastestMembers(model route.Model) []member {
 	var best []member
-	var bestTime time.Duration
+	var bestTime, bestCold time.Duration
 	bestIdle := 0
 	for _, domain := range d.domains() {
 		free := d.eligible(domain, model)
@@ -244,10 +248,12 @@
 			continue
 		}
 		slowest := d.nodes[free[model.ReplicaSize()-1]].loadTime(model)
-		if best != nil && (slowest > bestTime || slowest == bestTime && len(free) <= bestIdle) {
+		cold := d.nodes[free[0]].coldLeft(d.now) // of the head, which gets the requests
+		order := cmp.Or(cmp.Compare(slowest, bestTime), cmp.Compare(cold, bestCold), cmp.Compare(bestIdle, len(free)))
+		if best != nil && order >= 0 {
 			continue
 		}
-		best, bestTime, bestIdle = nil, slowest, len(free)
+		best, bestTime, bestCold, bestIdle = nil, slowest, cold, len(free)
 		for _, id := range free[:model.ReplicaSize()] {
 			best = append(best, member{id, d.nodes[id].incarnation})
 		}
