dispatch: Grant the slots of cold upstreams at the cold rate

An upstream that has just started is cold for some seconds and crashes at a rate of requests that it accepts afterwards (docs/design/uneven.md, part 2).

A cold upstream has a limit that ends by itself. The owner of its shard grants its slots with the bucket of limit.go, every send to it needs a slot, and the lower rate holds if it also names a limit. As the bound is on any one second, only a daemon that takes itself for the owner grants, slowly in its first two seconds, and a daemon that was paused counts as a new owner and does not use the slots that were granted to it meanwhile. Services without a cold rate are served as before.

The test cluster reuses the array of its timers.

--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -22,6 +22,7 @@
 	waiting         map[string][]*clusterCall // by replica
 	calls           []*clusterCall
 	timers          []timer
+	spareTimers     []timer // an unused array for timers
 	messages        int
 	crashes         int            // of replicas
 	slowdown        map[string]int // factor on the times of a replica
@@ -42,6 +43,10 @@
 	heldBack        map[int][]Event   // events that frozen daemons have not read
 	lives           map[int]int       // number of the restarts of a daemon
 	crashedAt       []time.Time
+	cold            map[string]*coldUpstream
+	coldRate        float64
+	shardOwner      func(self int) int // nil for the owner by the number of the shard
+	callTime        time.Duration      // of a call at a replica, 0 for callTime
 	config          route.Config
 }
 
@@ -69,7 +74,7 @@
 	cl := &cluster{
 		now: epoch, running: map[string][]*clusterCall{}, waiting: map[string][]*clusterCall{}, downUntil: map[string]time.Time{},
 		limited: map[string]*limitedUpstream{}, disturbedAt: map[int]time.Time{}, downSince: map[int]time.Time{},
-		heldBack: map[int][]Event{}, lives: map[int]int{},
+		heldBack: map[int][]Event{}, lives: map[int]int{}, cold: map[string]*coldUpstream{},
 	}
 	for i := range replicas {
 		cl.targets = append(cl.targets, NewTarget(fmt.Sprintf("h%d", i), fmt.Sprintf("10.0.0.%d:1", i), true, replicaSlotCount))
@@ -112,7 +117,7 @@
 		return nil
 	}
 	if v.downTime == 0 {
-		return v.targets
+		return v.withCold(v.targets)
 	}
 	return slices.DeleteFunc(slices.Clone(v.targets), func(t Target) bool { return v.isDown(t.name) })
 }
@@ -122,7 +127,7 @@
 	if service == "engines" {
 		return v.targets
 	}
-	return v.processes
+	return v.withCold(v.processes)
 }
 
 // NextOpening returns now: a replica may open at any time.
@@ -133,8 +138,11 @@
 
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
+	if v.shardOwner != nil {
+		owner = v.shardOwner(v.self)
+	}
 	for range v.daemons {
-		if v.mayOwn(v.self, owner) {
+		if v.shardOwner != nil || v.mayOwn(v.self, owner) {
 			break
 		}
 		owner = (owner + 1) % len(v.daemons)
@@ -169,6 +177,7 @@
 			cl.deliver(effect.Owner(), NewUsageReported(name, effect.Usage()))
 		case Send:
 			cl.countArrival(effect.Upstream(), self)
+			cl.countColdArrival(effect.Upstream())
 			cl.send(cl.calls[effect.ID()], effect)
 		case Cancel:
 			cl.cancel(effect.Attempt(), self)
@@ -252,7 +261,7 @@
 		}
 		a, slow := c.attempt, time.Duration(max(cl.slowdown[name], 1))
 		cl.after(slow*cmp.Or(cl.firstEventTime, firstEventDelay), func() { cl.begin(c, a) })
-		cl.after(slow*callTime, func() { cl.end(c, a) })
+		cl.after(slow*cmp.Or(cl.callTime, callTime), func() { cl.end(c, a) })
 	}
 }
 
@@ -325,7 +334,7 @@
 	for end := cl.now.Add(d); cl.now.Before(end); {
 		cl.now = cl.now.Add(time.Millisecond)
 		pending := cl.timers
-		cl.timers = nil
+		cl.timers = cl.spareTimers[:0]
 		for _, next := range pending {
 			if next.at.After(cl.now) {
 				cl.timers = append(cl.timers, next)
@@ -333,6 +342,7 @@
 			}
 			next.run()
 		}
+		cl.spareTimers = pending
 		if cl.now.Sub(epoch)%tickInterval == 0 {
 			for daemon := range cl.daemons {
 				cl.feed(daemon, NewTicked())
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -86,9 +86,9 @@
 const maxShardLoadAge = time.Second
 
 // needsSlot reports whether a call needs a slot before it is sent. A retry does not, to avoid further delay, unless an upstream of the
-// call names a limit.
-func (s *State) needsSlot(up Upstreams, c *call) bool {
-	return requestsSlots(s.policy) && (c.sends == 0 && s.isModelCall(c) || s.hasLimited(up, c))
+// call names a limit or is cold.
+func (s *State) needsSlot(now time.Time, up Upstreams, c *call) bool {
+	return requestsSlots(s.policy) && (c.sends == 0 && s.isModelCall(c) || s.hasLimited(now, up, c))
 }
 
 // shardFor returns the shard of an upstream of a call.
@@ -215,7 +215,7 @@
 		s.unresponsive[pending.owner] = now.Add(unresponsiveBackoff)
 	}
 	isLive := s.calls[c.id] == c
-	if e.status == SlotGranted && isLive && s.sendToSlot(now, up, c, e) {
+	if e.status == SlotGranted && isLive && !s.isStaleGrant(now, up, c, e) && s.sendToSlot(now, up, c, e) {
 		return
 	}
 	s.releaseSlot(up, e)
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -116,9 +116,23 @@
 	}
 }
 
-// hasLimited reports whether an upstream of a call names a limit.
-func (s *State) hasLimited(up Upstreams, c *call) bool {
-	return len(s.limits) > 0 && slices.ContainsFunc(s.targets(up, c), func(t Target) bool { return s.limits[t.name].perSecond > 0 })
+// hasLimited reports whether an upstream of a call names a limit or is cold.
+func (s *State) hasLimited(now time.Time, up Upstreams, c *call) bool {
+	return len(s.limits)+len(s.coldShards) > 0 &&
+		slices.ContainsFunc(s.targets(up, c), func(t Target) bool { return s.limitsRequests(now, t) })
+}
+
+// limitsRequests reports whether an upstream names a limit or is cold.
+func (s *State) limitsRequests(now time.Time, t Target) bool { return s.allowedRate(now, t) > 0 }
+
+// allowedRate returns the requests per second that an upstream accepts from all daemons together, 0 for no limit. The lower rate holds if
+// it both names a limit and is cold.
+func (s *State) allowedRate(now time.Time, t Target) float64 {
+	named, cold := s.limits[t.name].perSecond, t.coldRateAt(now)
+	if named == 0 || cold == 0 {
+		return named + cold
+	}
+	return min(named, cold)
 }
 
 // requestQueuedSlots requests slots for the queued calls that need one because of a limit.
@@ -134,7 +148,7 @@
 // mayRequestSlot reports whether a queued call that needs a slot because of a limit can request one, since the owner of the shard is
 // responsive again.
 func (s *State) mayRequestSlot(now time.Time, up Upstreams, c *call) bool {
-	if !s.hasLimited(up, c) || !s.needsSlot(up, c) || !s.hasUntried(up, c) || s.throttledFor(now, up, c) > 0 {
+	if !s.hasLimited(now, up, c) || !s.needsSlot(now, up, c) || !s.hasUntried(up, c) || s.throttledFor(now, up, c) > 0 {
 		return false
 	}
 	shard, isFound := s.leastLoadedShard(now, up, c)
@@ -148,16 +162,40 @@
 	limitBurstTime = 250 * time.Millisecond
 )
 
+// grantLimit is what the owner of a shard may grant of an upstream: requests per second, and how many of them accumulate while they are
+// not used. The zero value is no limit.
+type grantLimit struct {
+	isLimited bool
+	perSecond float64
+	burst     float64
+}
+
+// grantLimit returns what this daemon may grant of an upstream of a shard.
+func (s *State) grantLimit(now time.Time, shard Shard, t Target) grantLimit {
+	named := grantLimit{}
+	if perSecond := s.limits[t.name].perSecond; perSecond > 0 {
+		named = grantLimit{true, perSecond, limitBurst + perSecond*limitBurstTime.Seconds()}
+	}
+	perSecond := t.coldRateAt(now)
+	if perSecond == 0 {
+		return named
+	}
+	cold := s.coldGrantLimit(now, shard, perSecond)
+	if !named.isLimited {
+		return cold
+	}
+	return grantLimit{true, min(named.perSecond, cold.perSecond), min(named.burst, cold.burst)}
+}
+
 // refill adds the requests that a limit has allowed since the last time. A new owner starts without any, since the previous one may have
 // granted them.
-func (r *replicaSlots) refill(now time.Time, perSecond float64) {
+func (r *replicaSlots) refill(now time.Time, a grantLimit) {
 	switch {
-	case perSecond == 0:
+	case !a.isLimited:
 		r.tokens, r.refilledAt = 0, time.Time{}
 		return
 	case !r.refilledAt.IsZero():
-		accumulated := r.tokens + perSecond*now.Sub(r.refilledAt).Seconds()
-		r.tokens = min(accumulated, limitBurst+perSecond*limitBurstTime.Seconds())
+		r.tokens = min(r.tokens+a.perSecond*now.Sub(r.refilledAt).Seconds(), a.burst)
 	}
 	r.refilledAt = now
 }
@@ -182,16 +220,17 @@
 // refreshLimits refills the limits of the upstreams of a shard.
 func (s *State) refreshLimits(now time.Time, up Upstreams, shard Shard) {
 	table := s.slotTable(shard)
-	if len(s.limits) == 0 && !table.hasLimits {
+	if len(s.limits)+len(s.coldShards) == 0 && !table.hasLimits {
 		return
 	}
 	members := s.members(up, shard)
-	table.isLimited, table.hasLimits = len(members) > 0, false
+	table.isLimited, table.hasLimits, table.hasCold = len(members) > 0, false, false
 	for _, t := range members {
-		perSecond := s.limits[t.name].perSecond
-		table.replica(t.name).refill(now, perSecond)
-		table.isLimited = table.isLimited && perSecond > 0
-		table.hasLimits = table.hasLimits || perSecond > 0
+		limit := s.grantLimit(now, shard, t)
+		table.replica(t.name).refill(now, limit)
+		table.isLimited = table.isLimited && limit.isLimited
+		table.hasLimits = table.hasLimits || limit.isLimited
+		table.hasCold = table.hasCold || t.coldRateAt(now) > 0
 	}
 }
 
@@ -201,16 +240,25 @@
 	if !table.isLimited {
 		return table.expectedWait(now, w)
 	}
-	return s.limitedWait(up, w.shard, table.ahead(now, w))
+	wait := s.limitedWait(now, up, w.shard, table.ahead(now, w))
+	if table.hasCold { // which may allow more requests than slots become free
+		return max(wait, table.expectedWait(now, w))
+	}
+	return wait
 }
 
-// limitedWait returns the time until the limits of all upstreams of a shard have allowed a number of requests and one more.
-func (s *State) limitedWait(up Upstreams, shard Shard, ahead int) time.Duration {
+// limitedWait returns the time until the limits of all upstreams of a shard have allowed a number of requests and one more, or until one
+// of them is no longer cold.
+func (s *State) limitedWait(now time.Time, up Upstreams, shard Shard, ahead int) time.Duration {
 	table, members := s.slotTable(shard), s.members(up, shard)
 	granted := make([]int, len(members))
 	next := func(i int) float64 { // seconds until the next request to a member
-		replica := table.replica(members[i].name)
-		return max(float64(granted[i]+1)-replica.tokens, 0) / s.limits[members[i].name].perSecond
+		t := members[i]
+		wait := max(float64(granted[i]+1)-table.replica(t.name).tokens, 0) / s.allowedRate(now, t)
+		if s.limits[t.name].perSecond == 0 {
+			return min(wait, t.coldUntil.Sub(now).Seconds())
+		}
+		return wait
 	}
 	wait := 0.0
 	for range ahead + 1 {
@@ -236,9 +284,9 @@
 	}
 	perSecond := 0.0
 	for _, t := range s.members(up, request.shard) {
-		perSecond += s.limits[t.name].perSecond
+		perSecond += s.allowedRate(now, t)
 	}
-	first := now.Add(s.limitedWait(up, request.shard, len(table.waiters)))
+	first := now.Add(s.limitedWait(now, up, request.shard, len(table.waiters)))
 	due := later(first, table.limitedReturn.Add(time.Duration(float64(time.Second)/perSecond)))
 	wait := due.Sub(now)
 	switch {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -19,7 +19,7 @@
 // place finds an upstream for a call; a new call for a model needs a slot at a replica first, and so does each send while an upstream
 // of the call names a limit.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
-	if s.needsSlot(up, c) && s.hasUntried(up, c) && s.throttledFor(now, up, c) == 0 {
+	if s.needsSlot(now, up, c) && s.hasUntried(up, c) && s.throttledFor(now, up, c) == 0 {
 		s.requestSlot(now, up, c)
 		return
 	}
@@ -111,7 +111,7 @@
 func (s *State) evaluate(now time.Time, c *call, t Target) (candidate, bool) {
 	u := s.upstream(t.name)
 	result := candidate{target: t, upstream: u, calls: u.estimatedCalls(now)}
-	if !u.isAvailable(now) || s.limits[t.name].perSecond > 0 {
+	if !u.isAvailable(now) || s.limitsRequests(now, t) {
 		return result, false
 	}
 	if s.isModelCall(c) {
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -24,8 +24,9 @@
 	balancedAt  time.Time        // when the granted slots last sufficed for the offered calls
 	offeredRate rate             // of calls that could meet their goal when they requested a slot
 
-	isLimited     bool        // all upstreams of the shard name limits
+	isLimited     bool        // all upstreams of the shard name limits or are cold
 	hasLimits     bool        // one of them does
+	hasCold       bool        // one of them is cold
 	limitedReturn time.Time   // the latest time at which a denied call was told to return
 	returns       []time.Time // the times at which denied calls were told to return, in order
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -40,6 +40,10 @@
 	runningByOrganisation map[string]int           // running attempts
 	limits                map[string]upstreamLimit // by the name of the upstream
 	lag                   clock.Lag                // of this daemon
+	coldShards            []Shard                  // of the services whose upstreams may be cold
+	ownedSince            map[Shard]time.Time      // those that this daemon owns
+	tickedAt              time.Time                // the last tick
+	staleUntil            time.Time                // until when granted slots of cold upstreams may be from before a pause of this daemon
 	policy                policy
 	effects               []Effect
 }
@@ -48,10 +52,13 @@
 type Settings struct {
 	seed    uint64
 	retries RetryLimits
+	cold    ColdBound
 }
 
 // NewSettings returns settings with a seed for random choices and the limits of retries.
-func NewSettings(seed uint64, retries RetryLimits) Settings { return Settings{seed, retries} }
+func NewSettings(seed uint64, retries RetryLimits) Settings {
+	return Settings{seed: seed, retries: retries}
+}
 
 // New returns the initial state of a daemon.
 func New(settings Settings) State {
@@ -73,6 +80,7 @@
 		shardLoads:            map[Shard]shardLoad{},
 		runningByOrganisation: map[string]int{},
 		limits:                map[string]upstreamLimit{},
+		ownedSince:            map[Shard]time.Time{},
 		budgetPeers:           1,
 	}
 }
@@ -86,6 +94,7 @@
 	switch e := e.(type) {
 	case Configured:
 		s.config, s.isConfigured = e.config, true
+		s.selectColdShards()
 	case Arrived:
 		s.handleArrived(now, up, e.request)
 	case Started:
@@ -136,6 +145,10 @@
 		s.budgetPeers = e.count
 	case RetryLimitsChanged:
 		s.settings.retries = e.limits
+	case ColdBoundChanged:
+		s.settings.cold = e.bound
+	case Suspended:
+		s.noteSuspension(now, e.duration)
 	case Delayed:
 		s.lag.Observe(now, e.lag)
 	case Stopping:
@@ -180,6 +193,7 @@
 			s.expire(now, c)
 		}
 	}
+	s.refreshColdShards(now, up)
 	s.judgeParts(now)
 	s.checkSilentAttempts(now)
 	s.checkPendingSlots(now, up)
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -36,12 +36,15 @@
 	isLocal  bool
 	slots    int
 	slowdown float64
+
+	coldUntil time.Time
+	coldRate  float64 // requests per second that it tolerates until then, 0 for no limit
 }
 
 // NewTarget returns an upstream at address (host:port); isLocal means that it is in the daemon's data centre, and slots
 // is the number of requests that it runs at once.
 func NewTarget(name, address string, isLocal bool, slots int) Target {
-	return Target{name, address, isLocal, slots, 1}
+	return Target{name: name, address: address, isLocal: isLocal, slots: slots, slowdown: 1}
 }
 
 // WithSlowdown returns the target with the factor on its expected times, relative to other targets.
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -8,6 +8,8 @@
 	healthPath     string
 	maxConnections int
 	engine         Engine
+	coldTime       time.Duration
+	coldRate       float64
 }
 
 // NewService returns the service called name with the path of its health check, and the limit on the connections of all
@@ -22,6 +24,19 @@
 	return s
 }
 
+// WithCold returns the service as one whose upstreams are cold for a time after they start, in which each of them tolerates a rate of
+// requests per second from all daemons together, 0 for no limit.
+func (s Service) WithCold(coldTime time.Duration, coldRate float64) Service {
+	s.coldTime, s.coldRate = coldTime, max(coldRate, 0)
+	return s
+}
+
+// ColdTime returns for how long an upstream is cold at most after it starts, 0 if unknown.
+func (s Service) ColdTime() time.Duration { return s.coldTime }
+
+// ColdRate returns the requests per second that a cold upstream tolerates, 0 for no limit.
+func (s Service) ColdRate() float64 { return s.coldRate }
+
 // Name returns the name of the service.
 func (s Service) Name() string { return s.name }
 
