gateway: Tell all daemons which upstreams are cold

Nothing read for how much longer an upstream is cold, so the slot owners could not grant its slots at the cold rate. List entries carry the time left when they are sent, as the last field of an upstream; a daemon that gets it in an answer to a probe or an order shares it as a fact that expires when the upstream is warm. A later message makes the time longer, never shorter, and cold-start-s limits it. Targets of services with a cold rate have the time; each change is logged, and the gauge of upstreams counts the cold ones. Suspicions of a cold upstream lead to probes as rarely as those of one that names a limit.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -64,6 +64,7 @@
 // Notice is what an answer of an engine to an order or a probe says beside its result.
 type Notice struct {
 	Leaving    bool          // the engine announces that it shuts down
+	ColdLeft   time.Duration // for how much longer the engine is cold, 0 if it does not say so
 	RetryAfter time.Duration // for which the engine throttles the daemon that sent the request, 0 for none
 }
 
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -64,6 +64,8 @@
 		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
 	case gateway.UpstreamLeaving:
 		d.log.Info("upstream", "leaving", "upstream", effect.ID(), "source", effect.Source())
+	case gateway.ColdChanged:
+		d.log.Info("upstream", "cold", "upstream", effect.ID(), "left", effect.Left(), "perSecond", effect.PerSecond())
 	case gateway.PartsSuspected:
 		d.log.Info("dispatch", "parts suspected", "parts", effect.Parts())
 	case gateway.PartMarked:
@@ -221,6 +223,9 @@
 	if notice.Leaving {
 		d.enqueue(gateway.NewLeavingReported(id))
 	}
+	if notice.ColdLeft > 0 {
+		d.enqueue(gateway.NewColdReported(id, notice.ColdLeft))
+	}
 	if notice.RetryAfter > 0 {
 		d.enqueueDispatch(dispatch.NewUpstreamThrottled(string(id), notice.RetryAfter))
 	}
--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -51,6 +51,7 @@
 	d.recorder.SetGauge(metrics.Upstreams, int64(s.Leaving()), "leaving")
 	d.recorder.SetGauge(metrics.Upstreams, int64(s.Throttling()), "throttling")
 	d.recorder.SetGauge(metrics.Upstreams, int64(s.Limited()), "limited")
+	d.recorder.SetGauge(metrics.Upstreams, int64(s.Cold()), "cold")
 	d.recorder.SetGauge(metrics.LostPaths, int64(s.LostPaths()))
 	d.recorder.SetGauge(metrics.Lag, s.Lag().Milliseconds())
 	if s.Lag() >= lateThreshold {
--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -186,7 +186,7 @@
 // Observe handles what an answer says about its upstream to this daemon, which sent the request.
 func (d relayDriver) Observe(upstream string, answer *http.Response) {
 	class := d.adapter.Headers.ClassifyAnswer(answer)
-	d.observe(replica.ID(upstream), Notice{class.Leaving, class.RetryAfter})
+	d.observe(replica.ID(upstream), Notice{Leaving: class.Leaving, RetryAfter: class.RetryAfter})
 }
 
 // ConnectEnded reports a new connection to an upstream, or why it was not established.
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -88,7 +88,7 @@
 	Upstreams = Metric{
 		"azurepond_upstreams",
 		[]string{"state"},
-		"upstreams", "Listed upstreams that shut down (leaving), upstreams that throttle this daemon (throttling), and upstreams that name a limit (limited).",
+		"upstreams", "Listed upstreams that shut down (leaving), upstreams that throttle this daemon (throttling), upstreams that name a limit (limited), and upstreams that have just started and get requests at a low rate (cold).",
 	}
 	Lag = Metric{
 		"azurepond_lag_milliseconds",
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -88,6 +88,8 @@
 		s.receiveLeaving(now, fact)
 	case limitTopic:
 		s.receiveLimit(now, fact)
+	case coldTopic:
+		s.receiveCold(now, fact)
 	}
 }
 
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -63,7 +63,7 @@
 	stats := Stats{
 		active: s.dispatch.Active(), queued: s.dispatch.Queued(),
 		awaitingSlot: s.dispatch.AwaitingSlot(), slotWaiters: s.dispatch.SlotWaiters(),
-		retriesLeft: map[string]float64{}, lag: s.lag.TakeLongest(), throttling: s.dispatch.Throttling(now), limited: s.dispatch.Limited(),
+		retriesLeft: map[string]float64{}, lag: s.lag.TakeLongest(), throttling: s.dispatch.Throttling(now), limited: s.dispatch.Limited(), cold: len(s.coldUntil),
 		lostPaths: s.relay.LostPaths(),
 	}
 	for _, u := range s.listing.entries {
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -154,6 +154,22 @@
 // Source returns the daemon that reported it, or "answer" if the upstream announced it to this daemon.
 func (u UpstreamLeaving) Source() string { return u.source }
 
+// ColdChanged reports that an upstream is cold, so that it gets requests at a low rate, or no longer is.
+type ColdChanged struct {
+	id        replica.ID
+	left      time.Duration
+	perSecond float64
+}
+
+// ID returns the upstream.
+func (c ColdChanged) ID() replica.ID { return c.id }
+
+// Left returns for how much longer the upstream is cold, 0 if it no longer is.
+func (c ColdChanged) Left() time.Duration { return c.left }
+
+// PerSecond returns the requests per second that it tolerates until then.
+func (c ColdChanged) PerSecond() float64 { return c.perSecond }
+
 // Stats counts the work in progress at this daemon; it is emitted once a second.
 type Stats struct {
 	active       int
@@ -165,6 +181,7 @@
 	leaving      int
 	throttling   int
 	limited      int
+	cold         int
 	lostPaths    int
 }
 
@@ -195,6 +212,9 @@
 // Limited returns how many upstreams name a limit of the rate of requests that they accept.
 func (s Stats) Limited() int { return s.limited }
 
+// Cold returns how many upstreams are cold.
+func (s Stats) Cold() int { return s.cold }
+
 // LostPaths returns to how many upstreams this daemon lost its path.
 func (s Stats) LostPaths() int { return s.lostPaths }
 
@@ -322,3 +342,5 @@
 func (StoreAnswerOutdated) isEffect() {}
 
 func (UpstreamLeaving) isEffect() {}
+
+func (ColdChanged) isEffect() {}
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -37,13 +37,23 @@
 	service  string
 	slots    int
 	instance replica.Instance
+	coldLeft time.Duration // for how much longer it was cold when the entry was read or sent
 }
 
 // NewUpstream returns the entry of an instance of service that runs slots requests at once.
 func NewUpstream(service string, slots int, instance replica.Instance) Upstream {
-	return Upstream{service, slots, instance}
+	return Upstream{service: service, slots: slots, instance: instance}
 }
 
+// WithColdLeft returns the entry with for how much longer the upstream is cold.
+func (u Upstream) WithColdLeft(left time.Duration) Upstream {
+	u.coldLeft = left
+	return u
+}
+
+// ColdLeft returns for how much longer the upstream was cold when its entry was read.
+func (u Upstream) ColdLeft() time.Duration { return u.coldLeft }
+
 // Service returns the name of the service.
 func (u Upstream) Service() string { return u.service }
 
@@ -90,6 +100,15 @@
 // NewLeavingReported returns the event that the upstream called id announced that it shuts down.
 func NewLeavingReported(id replica.ID) LeavingReported { return LeavingReported{id} }
 
+// ColdReported reports that an upstream stated in an answer that it is cold.
+type ColdReported struct {
+	id   replica.ID
+	left time.Duration
+}
+
+// NewColdReported returns the event that the upstream called id stated that it is cold for a time from now on.
+func NewColdReported(id replica.ID, left time.Duration) ColdReported { return ColdReported{id, left} }
+
 // Component identifies a state machine within the daemon.
 type Component uint8
 
@@ -199,6 +218,8 @@
 
 func (LeavingReported) isEvent() {}
 
+func (ColdReported) isEvent() {}
+
 func (ListUnchanged) isEvent() {}
 
 func (ListFailed) isEvent() {}
--- a/pkg/gateway/fleet_engines_test.go
+++ b/pkg/gateway/fleet_engines_test.go
@@ -19,7 +19,7 @@
 	if e.staged != "" {
 		instance = instance.WithModels(e.loaded, e.staged)
 	}
-	return NewUpstream("engines", 22, instance.WithMembership(e.membership))
+	return NewUpstream("engines", 22, instance.WithMembership(e.membership)).WithColdLeft(max(e.coldUntil.Sub(f.now), 0))
 }
 
 func (f *fleet) listed() []Upstream {
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -64,7 +64,8 @@
 	lastModel  string
 	membership replica.Membership
 	members    []replica.ID
-	change     int       // number of the last change, so that a superseded one has no effect
+	change     int // number of the last change, so that a superseded one has no effect
+	coldUntil  time.Time
 	stagedAt   time.Time // end of the last staging
 	running    int       // calls
 	prefilled  time.Time // when the prompts sent so far will be prefilled
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -53,12 +53,13 @@
 	s.reduceDispatch(now, dispatch.NewLimitShared(fact.Key(), perSecond, fact.Origin()))
 }
 
-// limitedProbeInterval is the minimum time between two suspicions of an upstream that names a limit, which may count probes as requests.
+// limitedProbeInterval is the minimum time between two suspicions of an upstream that names a limit or is cold, which may count probes as
+// requests.
 const limitedProbeInterval = 4 * time.Second
 
 // maySuspect reports whether a suspicion of an upstream leads to probes now.
 func (s *State) maySuspect(now time.Time, id replica.ID) bool {
-	if !s.dispatch.IsLimited(string(id)) {
+	if _, isCold := s.coldUntil[id]; !isCold && !s.dispatch.IsLimited(string(id)) {
 		delete(s.suspectedAt, id)
 		return true
 	}
--- a/pkg/gateway/listing.go
+++ b/pkg/gateway/listing.go
@@ -36,6 +36,7 @@
 	isRestored       bool      // the next complete list is of an older snapshot of the store
 	restoredAt       time.Time // when this daemon noticed the last restore of the store
 	heldBack         map[replica.ID]heldEntry
+	coldTimes        map[string]time.Duration // for which upstreams are cold after they start, by service
 }
 
 // removal is an upstream that was removed from the list.
@@ -63,6 +64,7 @@
 	l.known, l.unavailable = true, false
 	listed := map[replica.ID]bool{}
 	for _, u := range e.upstreams {
+		u = l.receive(now, u)
 		id := u.instance.ID()
 		if isRestored && l.holdBack(now, u) {
 			continue
@@ -194,5 +196,9 @@
 	case u.instance.Leaving() && u.instance.Incarnation() == next.instance.Incarnation():
 		next.instance = next.instance.WithLeaving(true)
 	}
+	if u.instance.Incarnation() == next.instance.Incarnation() {
+		// The entry may be older than an answer of the upstream, so it does not end the time for which the upstream is cold.
+		next.instance = next.instance.WithColdUntil(later(u.instance.ColdUntil(), next.instance.ColdUntil()))
+	}
 	return next
 }
--- a/pkg/gateway/listmessage.go
+++ b/pkg/gateway/listmessage.go
@@ -27,7 +27,7 @@
 // The lengths of the encoded arrays, and the limit of those with one element for each entry.
 const (
 	listMessageFields = 8
-	upstreamFields    = 13
+	upstreamFields    = 14
 	maxListEntries    = 4096
 )
 
@@ -58,6 +58,7 @@
 		i.Incarnation(), i.Leaving(), i.LoadedModel(), staged,
 		m.Replica(), m.Epoch(),
 		[]any{m.Rank(), uint8(m.Phase())},
+		u.coldLeft.Milliseconds(),
 	}
 }
 
@@ -177,5 +178,5 @@
 		return Upstream{}
 	}
 	i = i.WithModels(loaded, staged...).WithMembership(replica.NewMembership(name, epoch, rank, phase))
-	return NewUpstream(service, slots, i)
+	return NewUpstream(service, slots, i).WithColdLeft(f.milliseconds())
 }
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -26,6 +26,7 @@
 	shutdownDelay time.Duration
 	watchWait     time.Duration
 	relayPort     uint16
+	coldBound     dispatch.ColdBound
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; incarnation must be unique to each start
@@ -97,6 +98,12 @@
 	return s
 }
 
+// WithColdBound returns the settings with the bound of the requests that a cold upstream may get in any one second.
+func (s Settings) WithColdBound(bound dispatch.ColdBound) Settings {
+	s.coldBound = bound
+	return s
+}
+
 // WithShutdownDelay returns the settings with how long new requests are still accepted after a shutdown begins.
 func (s Settings) WithShutdownDelay(delay time.Duration) Settings {
 	s.shutdownDelay = delay
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -57,6 +57,7 @@
 	ownerByShard     map[dispatch.Shard]string
 	suspectedAt      map[replica.ID]time.Time // last suspicion of the upstreams that name a limit
 	namesByService   map[string][]string      // of the listed upstreams, nil if it must be determined again
+	coldUntil        map[replica.ID]time.Time // of the cold upstreams
 	relayed          map[RelayID]bool         // requests that are passed on for peers
 	effects          []Effect
 }
@@ -82,6 +83,8 @@
 	case ListFailed:
 		s.listSync.watch = storeWatch{}
 		s.listFailed(now)
+	case ColdReported:
+		s.reportCold(now, e.id, e.left)
 	case LeavingReported:
 		s.reportLeaving(now, e.id)
 	case StoreCompleted:
@@ -92,6 +95,7 @@
 		s.tick(now)
 	case Suspended:
 		s.reducePeer(now, peer.NewSuspended(e.duration))
+		s.reduceDispatch(now, dispatch.NewSuspended(e.duration))
 	case PeerEvent:
 		s.reducePeer(now, e.event)
 	case ReplicaEvent:
@@ -128,7 +132,9 @@
 	)
 	s.relay = relay.New(settings.centre, settings.seed)
 	s.relayed = map[RelayID]bool{}
+	s.coldUntil = map[replica.ID]time.Time{}
 	s.dispatch = dispatch.New(dispatch.NewSettings(settings.seed, settings.retryLimits))
+	s.reduceDispatch(now, dispatch.NewColdBoundChanged(settings.coldBound))
 	s.reduceDispatch(now, dispatch.NewBudgetPeersChanged(0))
 	s.refreshShardOwners(now, nil)
 	s.reducePeer(now, peer.NewConfigured(peer.NewSettings(
@@ -144,7 +150,8 @@
 
 // reload applies the settings that may change while the process runs.
 func (s *State) reload(now time.Time, settings Settings) {
-	s.settings.shutdownDelay, s.settings.retryLimits = settings.shutdownDelay, settings.retryLimits
+	s.settings.shutdownDelay, s.settings.retryLimits, s.settings.coldBound = settings.shutdownDelay, settings.retryLimits, settings.coldBound
+	s.reduceDispatch(now, dispatch.NewColdBoundChanged(settings.coldBound))
 	s.reduceDispatch(now, dispatch.NewRetryLimitsChanged(settings.retryLimits))
 }
 
@@ -174,6 +181,7 @@
 		return
 	}
 	s.config = config
+	s.listing.configureCold(config)
 	s.reduceDispatch(now, dispatch.NewConfigured(config))
 	engines, _ := config.EngineService()
 	s.reduceReplica(now, replica.NewConfigured(engines.Engine()))
@@ -232,6 +240,7 @@
 func (s *State) applyListChanges(now time.Time, changed []Upstream, gone []replica.ID) {
 	s.namesByService = nil
 	s.listSync.addChanges(changed, gone)
+	s.noteCold(now, changed)
 	var engines []replica.Instance
 	for _, u := range changed {
 		if u.service == s.engineService {
@@ -254,6 +263,7 @@
 	if gone := s.listing.expire(now); len(gone) > 0 {
 		s.applyListChanges(now, nil, gone)
 	}
+	s.endCold(now)
 	s.refreshMembers(now)
 	s.refreshListSync(now)
 	s.replaceSilentWatches(now)
@@ -301,7 +311,7 @@
 		if h.CrossDomain() {
 			target = target.WithSlowdown(engines.Engine().CrossDomainFactor())
 		}
-		targets = append(targets, target)
+		targets = append(targets, s.withCold(target, h.ID(), engines))
 	}
 	return targets
 }
@@ -314,10 +324,12 @@
 // Processes returns the upstreams of a plain service.
 func (s *State) Processes(service string) []dispatch.Target {
 	var targets []dispatch.Target
+	configured, _ := s.config.Service(service)
 	for _, u := range s.listing.entries {
 		if u.service == service && !u.instance.Leaving() {
-			targets = append(targets, dispatch.NewTarget(
-				string(u.instance.ID()), u.instance.Address(), u.instance.Centre() == s.settings.centre, u.slots))
+			target := dispatch.NewTarget(
+				string(u.instance.ID()), u.instance.Address(), u.instance.Centre() == s.settings.centre, u.slots)
+			targets = append(targets, s.withCold(target, u.instance.ID(), configured))
 		}
 	}
 	slices.SortFunc(targets, func(a, b dispatch.Target) int {
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -184,7 +184,7 @@
 
 // sendListMessages encodes a message once and sends it to several daemons.
 func (s *State) sendListMessages(now time.Time, names []string, message listMessage) {
-	data, err := message.encode()
+	data, err := message.toSend(now).encode()
 	if err != nil {
 		s.emit(Problem{"list message not encoded", err.Error()})
 		return
