--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -38,6 +38,9 @@
 	slots    int
 	slowdown float64
 	centre   string
+
+	coldUntil time.Time
+	coldRate  float64 // requests per second that it tolerates until then, 0 for no limit
 }
 
 // NewTarget returns an upstream at address (host:port); isLocal means that it is in the daemon's data centre, and slots
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -28,6 +28,7 @@
 	relayPort     uint16
 	region        string
 	regions       map[string]string // by data centre
+	coldBound     dispatch.ColdBound
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; incarnation must be unique to each start
@@ -99,6 +100,12 @@
 	return s
 }
 
+// WithColdBound returns the settings with the bound of the requests that a cold upstream may get in any one second.
+func (s Settings) WithColdBound(bound dispatch.ColdBound) Settings {
+	s.coldBound = bound
+	return s
+}
+
 // WithShutdownDelay returns the settings with how long new requests are still accepted after a shutdown begins.
 func (s Settings) WithShutdownDelay(delay time.Duration) Settings {
 	s.shutdownDelay = delay
