replica: Form no replicas in evacuated data centres

The plan knew no state of an instance between usable and leaving, and what it does for leaving instances can't be undone: their replicas are closed.

CentresEvacuated carries the evacuated data centres. Their instances are not eligible, their replicas do not count for the pressure on their model, give no members to others and get no orders, but stay in the record. The heads of a replica with a member in a closed data centre are not listed. Such a replica is formed again only if it has members elsewhere. NextOpening knows that no replica can open while too few instances are left.

--- a/pkg/replica/crossdomain.go
+++ b/pkg/replica/crossdomain.go
@@ -21,7 +21,7 @@
 func (d *draft) removeCrossDomain() []group {
 	var removed []group
 	d.next.groups = slices.DeleteFunc(d.next.groups, func(g group) bool {
-		crossDomain := d.isCrossDomain(g)
+		crossDomain := d.isCrossDomain(g) && !d.hasEvacuated(g)
 		if crossDomain {
 			removed = append(removed, g)
 			d.release(g.members)
--- a/pkg/replica/demand.go
+++ b/pkg/replica/demand.go
@@ -43,11 +43,11 @@
 	return model.InitialShare() / float64(model.ReplicaSize())
 }
 
-// replicaCount returns how many replicas of a model the draft holds.
+// replicaCount returns how many replicas of a model the draft holds, without those that are evacuated.
 func (d *draft) replicaCount(model route.Model) int {
 	count := 0
 	for _, g := range d.next.groups {
-		if g.model == model.Name() {
+		if g.model == model.Name() && !d.hasEvacuated(g) {
 			count++
 		}
 	}
@@ -83,7 +83,7 @@
 		if gained >= count {
 			break
 		}
-		if other.model != model.Name() && d.nodes[other.members[0].id].domain == domain &&
+		if other.model != model.Name() && d.nodes[other.members[0].id].domain == domain && !d.hasEvacuated(other) &&
 			d.mayDissolve(other, victims, model, margin) {
 			victims = append(victims, other)
 			gained += d.warmMembers(other, model)
@@ -141,11 +141,12 @@
 	}
 }
 
-// isForming reports whether one of the replicas is not open yet.
+// isForming reports whether one of the replicas is not open yet. Evacuated ones do not open.
 func (s *State) isForming(groups []group) bool {
 	for _, g := range groups {
 		head := s.nodes[g.members[0].id]
-		if head == nil || !head.membership.isIn(g.name, g.epoch) || head.membership.phase != PhaseOpen {
+		isOpen := head != nil && head.membership.isIn(g.name, g.epoch) && head.membership.phase == PhaseOpen
+		if !isOpen && !s.hasEvacuated(g) {
 			return true
 		}
 	}
--- a/pkg/replica/effect.go
+++ b/pkg/replica/effect.go
@@ -112,7 +112,7 @@
 // Alive returns how many instances answer.
 func (c Counts) Alive() int { return c.alive }
 
-// Leaving returns how many of them are shutting down.
+// Leaving returns how many of them are shutting down or evacuated.
 func (c Counts) Leaving() int { return c.leaving }
 
 // Idle returns how many of the others belong to no recorded replica.
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is an input of the planner: Configured, Listed, Probed, Suspected, DeclaredDead, OrderAnswered, StoreCompleted,
-// LeadershipChanged, DemandReported, CallsArrived, StoreEra, ProbesPaused,
+// LeadershipChanged, DemandReported, CallsArrived, StoreEra, ProbesPaused, CentresEvacuated,
 // Delayed or Ticked.
 type Event interface{ isEvent() }
 
--- a/pkg/replica/heads.go
+++ b/pkg/replica/heads.go
@@ -50,13 +50,14 @@
 }
 
 // updateHeads determines which replicas are complete and open. A replica is complete if each member is listed, alive, not
-// silent, not leaving, and reports membership in the same epoch of the replica.
+// silent, not leaving, not in a closed data centre, and reports membership in the same epoch of the replica.
 func (s *State) updateHeads() {
 	available := map[replicaEpoch]*availableMembers{}
 	var candidates []*node
 	for _, id := range s.ids() {
 		n := s.nodes[id]
-		if !n.isAlive() || n.isSilent() || n.leaving || n.membership.phase != PhaseReady && n.membership.phase != PhaseOpen {
+		if !n.isAlive() || n.isSilent() || n.leaving || s.isInClosedCentre(n) ||
+			n.membership.phase != PhaseReady && n.membership.phase != PhaseOpen {
 			continue
 		}
 		key := n.membership.replicaEpoch()
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		c.alive++
-		if n.leaving {
+		if n.leaving || s.isEvacuated(n) {
 			c.leaving++
 		} else if !s.record.holds(id) {
 			c.idle++
@@ -187,6 +187,8 @@
 			states = append(states, "dead")
 		case n.leaving:
 			states = append(states, "leaving")
+		case s.isEvacuated(n):
+			states = append(states, "evacuated")
 		case !n.membership.isIn(g.name, g.epoch):
 			states = append(states, "elsewhere")
 		default:
--- a/pkg/replica/opening.go
+++ b/pkg/replica/opening.go
@@ -14,9 +14,13 @@
 }
 
 // NextOpening returns the earliest time at which a replica of a model may open: when all members of one that is forming should
-// be ready, or else after the shortest repair, each with the time of the opening itself.
+// be ready, or else after the shortest repair, each with the time of the opening itself. If too few instances are left outside the
+// evacuated data centres, it returns the time after noOpening.
 func (s *State) NextOpening(now time.Time, model string) time.Time {
 	m, _ := s.engine.Model(model)
+	if !s.canOpen(m) {
+		return now.Add(noOpening)
+	}
 	earliest := now.Add(min(m.WarmLoadTime(), m.LoadTime()) + s.engine.FormationTime())
 	for _, forming := range s.formingReplicas(now, m) {
 		if len(forming.ranks) != m.ReplicaSize() {
@@ -36,7 +40,7 @@
 	for _, id := range s.ids() {
 		n := s.nodes[id]
 		isForming := n.membership.phase == PhaseJoining || n.membership.phase == PhaseReady || n.membership.phase == PhaseOpen
-		if !n.isAlive() || n.leaving || !isForming || n.loadedModel != m.Name() {
+		if !n.isAlive() || n.leaving || s.isEvacuated(n) || !isForming || n.loadedModel != m.Name() {
 			continue
 		}
 		key := n.membership.replicaEpoch()
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -53,8 +53,11 @@
 	return s.settings.bootstrap && !s.callsSeen && s.isForming(s.record.groups)
 }
 
-// advance sends the next orders for one replica: all members join, then the head opens.
+// advance sends the next orders for one replica: all members join, then the head opens. An evacuated replica stays as it is.
 func (s *State) advance(now time.Time, g group) {
+	if s.hasEvacuated(g) {
+		return
+	}
 	ready := true
 	for _, m := range g.members {
 		n := s.nodes[m.id]
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -28,14 +28,14 @@
 	next     record
 	assigned map[ID]bool
 	changed  bool
-	byDomain map[string][]ID // the instances that are alive and not leaving, sorted
+	byDomain map[string][]ID // the instances that are alive, not leaving and not evacuated, sorted
 }
 
 // newDraft returns a draft that starts with the groups of next.
 func (s *State) newDraft(now time.Time, next record) *draft {
 	d := &draft{State: s, now: now, next: next, assigned: map[ID]bool{}, byDomain: map[string][]ID{}}
 	for _, id := range s.ids() {
-		if n := s.nodes[id]; n.isAlive() && !n.leaving {
+		if n := s.nodes[id]; n.isAlive() && !n.leaving && !s.isEvacuated(n) {
 			d.byDomain[n.domain] = append(d.byDomain[n.domain], id)
 		}
 	}
@@ -49,7 +49,7 @@
 	var broken []group
 	kept := d.next.groups[:0]
 	for _, g := range d.next.groups {
-		if d.isIntact(g) {
+		if d.isIntact(g) && !d.mustMove(g) {
 			kept = append(kept, g)
 			d.assign(g)
 			continue
@@ -109,10 +109,11 @@
 	return n.isAlive() && n.incarnation == m.incarnation && !n.leaving
 }
 
+// survivors returns the members that another replica can use.
 func (d *draft) survivors(g group) []member {
 	var survivors []member
 	for _, m := range g.members {
-		if d.isUsable(m) {
+		if d.isUsable(m) && !d.isEvacuated(d.nodes[m.id]) {
 			survivors = append(survivors, m)
 		}
 	}
@@ -178,8 +179,8 @@
 	return count
 }
 
-// idle returns the unassigned instances of a fabric domain that are alive and not leaving, those that load model fastest
-// first.
+// idle returns the unassigned instances of a fabric domain that are alive, not leaving and not evacuated, those that load model
+// fastest first.
 func (d *draft) idle(domain string, model route.Model) []ID {
 	var free []ID
 	for _, id := range d.byDomain[domain] {
--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -30,6 +31,7 @@
 // simEngine simulates one engine that carries out orders as real engines do.
 type simEngine struct {
 	id             ID
+	centre         string // "athens" if empty
 	domain         string
 	incarnation    int64
 	down           bool
@@ -69,6 +71,7 @@
 	storeUp       bool
 	scheduled     []simEvent
 	violations    []string
+	onOrder       func(Order)                                  // observes each order, nil for none
 	dropOrder     func(Order) (lost bool, after time.Duration) // lost orders are carried out after a positive delay, else never
 	orders        int
 	loadStarts    []time.Time
@@ -230,7 +233,7 @@
 }
 
 func (sim *simulation) instance(e *simEngine) Instance {
-	i := NewInstance(e.id, string(e.id), "athens", e.domain, e.incarnation).
+	i := NewInstance(e.id, string(e.id), cmp.Or(e.centre, "athens"), e.domain, e.incarnation).
 		WithModels(e.loadedModel, e.stagedModel).WithLeaving(e.leaving)
 	return i.WithMembership(e.membership)
 }
@@ -250,6 +253,9 @@
 		sim.after(simMessageDelay, func() { sim.store(d, effect.Request()) })
 	case Order:
 		sim.orders++
+		if sim.onOrder != nil {
+			sim.onOrder(effect)
+		}
 		sim.order(d, effect)
 	case Probe:
 		d.probes++
@@ -457,7 +463,7 @@
 func (sim *simulation) start(id ID) {
 	e := sim.engine(id)
 	*e = simEngine{
-		id: id, domain: e.domain, incarnation: e.incarnation + 1,
+		id: id, centre: e.centre, domain: e.domain, incarnation: e.incarnation + 1,
 		stagedModel: e.stagedModel, readyIn: map[string]bool{},
 	}
 }
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -68,7 +68,7 @@
 func (s *State) stageMembers(now time.Time) {
 	model := s.largestModel()
 	for _, g := range s.record.groups {
-		if g.model == model.Name() {
+		if g.model == model.Name() || s.hasEvacuated(g) {
 			continue
 		}
 		for _, m := range g.members {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -27,7 +27,8 @@
 	lastArrival    time.Time          // when an unknown instance was last listed
 	demand         map[string]float64 // replicas that each model keeps busy, nil before the first report
 	callsSeen      bool
-	lastConversion time.Time // when replicas of one model last gave instances to another model
+	lastConversion time.Time       // when replicas of one model last gave instances to another model
+	evacuated      map[string]bool // whether each evacuated data centre is closed
 
 	leading           bool
 	record            record
@@ -125,6 +126,8 @@
 	case StoreCompleted:
 		s.applyStoreResult(now, e.result)
 		isInstanceEvent = false
+	case CentresEvacuated:
+		s.setEvacuated(e)
 	case LeadershipChanged:
 		s.setLeading(now, e.leading)
 		isInstanceEvent = false
