dispatch: Place waiting calls again when upstreams close

A call that waits in the queue of its daemon or of a shard owner stays there until its waiting time ends, also if no upstream is left that it could wait for. For an upstream that is lost this is wanted, as it may return.

UpstreamsClosed says that upstreams get no further requests. Calls that have none left are placed again, which refuses at once those that can't be served.

--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -9,7 +9,7 @@
 // Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed, CallerLeft, SlotReply,
 // SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, PartCrashReported, PartAnswered, PartsAsked, PartMarked,
 // ReplicaBroken, ReplicaSilent, PathLost, BudgetPeersChanged, RetryLimitsChanged, Throttled, UpstreamThrottled, LimitReported, Stopping,
-// Delayed or Ticked.
+// UpstreamsClosed, Delayed or Ticked.
 type Event interface{ isEvent() }
 
 // Configured reports the configuration that is in force.
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -130,6 +130,8 @@
 		s.handleReplicaSilent(now, e.head)
 	case PathLost:
 		s.handlePathLost(now, e.upstream)
+	case UpstreamsClosed:
+		s.handleUpstreamsClosed(now, up)
 	case UpstreamThrottled:
 		s.throttle(s.upstream(e.upstream), e.upstream, now.Add(e.wait))
 	case BudgetPeersChanged:
