gateway: Send nothing to evacuated data centres

Nothing read the operator's evacuations, so requests reached the upstreams of a data centre until these were lost.

Daemons that watch the list of upstreams get the set of evacuated data centres too, push a change to their subscribers, and send the set in each message about the list, with its era, its version and the ages of the evacuations. A data centre is announced first and closed a grace time after the first reader learned of it. Closed upstreams are not listed for calls, and calls of peers to them are not passed on. Without a grace time sets are ignored.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -42,8 +42,8 @@
 	// Watch delivers each version of an object, and object.StillCurrent for each answer without a change, until the watch fails or ctx
 	// is cancelled.
 	Watch(ctx context.Context, request object.Watch, deliver func(object.Result))
-	// WatchUpstreams delivers gateway.Listed, gateway.ListUnchanged and gateway.ListFailed events until ctx is cancelled; it reads
-	// changes at most once in each interval.
+	// WatchUpstreams delivers gateway.Listed, gateway.ListUnchanged and gateway.ListFailed events until ctx is cancelled, and
+	// gateway.Evacuations events if evacuations have an effect; it reads changes at most once in each interval.
 	WatchUpstreams(ctx context.Context, interval time.Duration, deliver func(gateway.Event))
 	// CloseIdle closes the connections that no call uses, so that the next calls open new ones.
 	CloseIdle()
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -64,6 +64,9 @@
 		d.log.Info("store", "answer of an earlier era dropped", "era", effect.Era(), "current", effect.Current())
 	case gateway.UpstreamLeaving:
 		d.log.Info("upstream", "leaving", "upstream", effect.ID(), "source", effect.Source())
+	case gateway.EvacuationChanged:
+		d.recorder.CentreEvacuated(effect.Centre(), int64(effect.Phase()))
+		d.log.Info("evacuation", effect.Phase().String(), "centre", effect.Centre(), "version", effect.Version(), "age", effect.Age())
 	case gateway.PartsSuspected:
 		d.log.Info("dispatch", "parts suspected", "parts", effect.Parts())
 	case gateway.PartMarked:
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -122,5 +122,6 @@
 		Requests, RequestTime, FirstSendTime, Orders, Probes, UpstreamConnections,
 		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, DroppedLogLines, Upstreams, Lag, Leading,
 		StoreRestores, StoreEra, OutdatedStoreAnswers, SilentStoreWatches, MarkedParts, LostPaths, RelayedRequests,
+		EvacuatedCentres,
 	}, linkMetrics...)
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -105,6 +105,11 @@
 		[]string{"outcome"},
 		"requests", "Requests of this daemon that went through other daemons, by what became of them there.",
 	}
+	EvacuatedCentres = Metric{
+		"azurepond_centre_evacuated",
+		[]string{"centre"},
+		"phase", "Whether a data centre is evacuated: 1 announced, 2 closed to requests, 0 again when the evacuation has ended.",
+	}
 	Leading = Metric{
 		"azurepond_leading",
 		nil,
@@ -143,6 +148,11 @@
 // RequestRelayed counts a request that went through another daemon by its outcome there.
 func (r *Recorder) RequestRelayed(outcome string) { r.increment(RelayedRequests.RegistryName(outcome)) }
 
+// CentreEvacuated sets the phase of the evacuation of a data centre.
+func (r *Recorder) CentreEvacuated(centre string, phase int64) {
+	r.SetGauge(EvacuatedCentres, phase, centre)
+}
+
 // PartMarked counts a verdict on a part of prompts that crashes upstreams.
 func (r *Recorder) PartMarked(refused bool) {
 	verdict := "cleared"
--- a/pkg/gateway/fleet_calls_test.go
+++ b/pkg/gateway/fleet_calls_test.go
@@ -182,6 +182,9 @@
 // ended.
 func (f *fleet) runCall(d *fleetDaemon, send dispatch.Send, via *fleetDaemon, end func()) {
 	e, call := f.byID[replica.ID(send.Upstream())], f.calls[callKey(d, send.ID())]
+	if f.onCall != nil {
+		f.onCall(d, e)
+	}
 	dispatched := func(after time.Duration, event dispatch.Event) {
 		f.after(after, func() { f.feed(d, NewDispatchEvent(event)) })
 	}
--- a/pkg/gateway/fleet_store_test.go
+++ b/pkg/gateway/fleet_store_test.go
@@ -154,6 +154,7 @@
 			f.feed(d, NewListFailed())
 			f.readList(d, fleetRetryDelay)
 		} else if d.listWatch == number {
+			f.listEvacuated(d)
 			f.feed(d, NewListed(f.listed()).WithEra(f.era))
 			f.pollList(d, number)
 		}
@@ -165,6 +166,7 @@
 	f.after(fleetWatchWait, func() {
 		if d.listWatch == number && d.watching && !d.listSilent {
 			f.feed(d, NewListUnchanged())
+			f.answerEvacuations(d)
 			f.pollList(d, number)
 		}
 	})
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -41,8 +41,9 @@
 	large, small              int // instances in a replica of each model
 	loadsPerSecond            float64
 	concurrentLoads           int
-	callsPerSecond            float64 // from the start of traffic
-	cores                     float64 // of each daemon, 0 for a few large ones among small ones
+	callsPerSecond            float64       // from the start of traffic
+	cores                     float64       // of each daemon, 0 for a few large ones among small ones
+	grace                     time.Duration // of evacuations, 0 if they have no effect
 }
 
 // largeFleet is a fleet of hundreds of daemons.
@@ -107,6 +108,7 @@
 	relayed       int                      // requests of peers
 	gotCalls      int
 	relays        map[RelayID]func(RelayDecided)
+	phases        []fleetPhase // of evacuations
 }
 
 // fleetCall is a call at a daemon.
@@ -178,7 +180,8 @@
 	nextRelay RelayID
 	relayed   int // requests that went through a peer
 	noRelays  bool
-	pick      func() *fleetDaemon // selects the daemon of a call, nil for any
+	pick      func() *fleetDaemon              // selects the daemon of a call, nil for any
+	onCall    func(*fleetDaemon, *fleetEngine) // observes each call that reaches an engine, nil for none
 }
 
 func newFleet(size fleetSize, traffic time.Duration) *fleet {
@@ -253,7 +256,8 @@
 	settings := NewSettings(d.name, fmt.Sprintf("c%d", i%f.size.centres), fmt.Sprint(f.now.UnixNano()), uint64(i+1)).
 		WithAddresses(d.address, d.address).WithSeeds(f.daemons[0].address, f.daemons[1].address, f.daemons[2].address).
 		WithBootstrap(isFirst).WithResources(f.cores(i), f.cores(i)*250e6).WithConfig(fleetConfigKey, "version").WithRecord(fleetRecordKey).
-		WithRetryLimits(dispatch.NewRetryLimits(0.2, 696, 10*time.Second)).WithWatchWait(fleetWatchWait).WithRelayPort(fleetRelayPort)
+		WithRetryLimits(dispatch.NewRetryLimits(0.2, 696, 10*time.Second)).WithWatchWait(fleetWatchWait).WithRelayPort(fleetRelayPort).
+		WithEvacuationGrace(f.size.grace)
 	f.feed(d, NewStarted(settings))
 	f.tick(d)
 }
@@ -302,6 +306,8 @@
 		f.after(fleetStoreDelay, func() { f.callStore(d, effect) })
 	case DecodeConfig:
 		f.after(0, func() { f.feed(d, NewConfigDecoded(f.configOf(effect.Document().Revision()))) })
+	case EvacuationChanged:
+		d.phases = append(d.phases, fleetPhase{effect, f.now})
 	case LeaderChanged:
 		d.leaderChanges = append(d.leaderChanges, f.now)
 	case ResetStore:
--- a/pkg/gateway/lag.go
+++ b/pkg/gateway/lag.go
@@ -27,6 +27,7 @@
 	}
 	s.listSync.receivedAt = s.listSync.receivedAt.Add(pause)
 	s.listSync.watch.discountPause(pause)
+	s.evacuations.watch.discountPause(pause)
 	s.configWatch.discountPause(pause)
 }
 
--- a/pkg/gateway/listmessage.go
+++ b/pkg/gateway/listmessage.go
@@ -22,11 +22,12 @@
 	unavailable              bool   // the reader can't read the list now
 	changed                  []Upstream
 	gone                     []replica.ID
+	evacuations              evacuationSet // not in a request
 }
 
 // The lengths of the encoded arrays, and the limit of those with one element for each entry.
 const (
-	listMessageFields = 8
+	listMessageFields = 9
 	upstreamFields    = 13
 	maxListEntries    = 4096
 )
@@ -43,7 +44,7 @@
 	for _, id := range l.gone {
 		gone = append(gone, string(id))
 	}
-	err := e.Encode([]any{l.isRequest, l.readerStart, l.fromRevision, l.toRevision, l.complete, l.unavailable, upstreams, gone})
+	err := e.Encode([]any{l.isRequest, l.readerStart, l.fromRevision, l.toRevision, l.complete, l.unavailable, upstreams, gone, l.evacuations.values()})
 	return buffer.Bytes(), trace.Wrap(err)
 }
 
@@ -154,6 +155,7 @@
 	for range f.length(maxListEntries) {
 		l.gone = append(l.gone, replica.ID(f.text()))
 	}
+	l.evacuations = f.evacuations()
 	return l, f.err
 }
 
--- a/pkg/gateway/relayed.go
+++ b/pkg/gateway/relayed.go
@@ -24,7 +24,7 @@
 	switch {
 	case s.stoppedAccepting, len(s.relayed) >= maxRelayed, s.lag.Recent(now) >= maxRelayLag:
 		decision.refusal = RelayBusy
-	case !isListed, s.relay.IsLost(s, e.upstream), e.isCall && u.instance.Leaving(), s.dispatch.IsThrottling(now, e.upstream):
+	case !isListed, s.relay.IsLost(s, e.upstream), e.isCall && (u.instance.Leaving() || s.isClosed(u)), s.dispatch.IsThrottling(now, e.upstream):
 		decision.refusal = RelayUnfit
 	default:
 		decision.address = u.instance.Address()
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -26,6 +26,8 @@
 	shutdownDelay time.Duration
 	watchWait     time.Duration
 	relayPort     uint16
+
+	evacuationGrace time.Duration
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; incarnation must be unique to each start
@@ -91,6 +93,13 @@
 	return s
 }
 
+// WithEvacuationGrace returns the settings with the time from when the evacuation of a data centre is announced until it is closed; 0 if
+// evacuations have no effect.
+func (s Settings) WithEvacuationGrace(grace time.Duration) Settings {
+	s.evacuationGrace = grace
+	return s
+}
+
 // WithRetryLimits returns the settings with the limits on retries of all daemons together.
 func (s Settings) WithRetryLimits(limits dispatch.RetryLimits) Settings {
 	s.retryLimits = limits
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// replaceListWatches replaces the watches of the list and of the evacuated data centres, since one of them is silent.
+func (s *State) replaceListWatches(now time.Time, name string, silence time.Duration) {
+	s.listSync.watch, s.evacuations.watch = storeWatch{replacedAt: now}, storeWatch{}
+	s.emit(ResetStore{name, silence})
+	s.emit(WatchUpstreams{s.listSync.watchInterval})
+}
+
 // replaceSilentWatches replaces the watches that were not answered in time.
 func (s *State) replaceSilentWatches(now time.Time) {
 	if s.settings.watchWait == 0 {
@@ -66,10 +73,12 @@
 		s.emit(ResetStore{configDocument, silence})
 		s.reducePeer(now, peer.NewRereadRequested())
 	}
-	if silence := s.listSync.watch.silence(now); silence > limit+s.listSync.watchInterval {
-		s.listSync.watch = storeWatch{replacedAt: now}
-		s.emit(ResetStore{"upstreams", silence})
-		s.emit(WatchUpstreams{s.listSync.watchInterval})
+	listLimit := limit + s.listSync.watchInterval
+	if silence := s.listSync.watch.silence(now); silence > listLimit {
+		s.replaceListWatches(now, "upstreams", silence)
+	}
+	if silence := s.evacuations.watch.silence(now); silence > listLimit {
+		s.replaceListWatches(now, "evacuations", silence)
 	}
 	if w := s.listSync.watch; !w.replacedAt.IsZero() && now.Sub(w.replacedAt) > replacementTimeout+s.lag.Recent(now) {
 		s.listFailed(now)
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -38,6 +38,7 @@
 	listing       listing
 	members       members
 	listSync      listSync
+	evacuations   evacuations
 	configWatch   storeWatch
 	random        *rand.Rand
 
@@ -65,6 +66,7 @@
 func (s *State) Reduce(now time.Time, e Event) []Effect {
 	s.effects = nil
 	s.observeLag(now, e)
+	s.refreshEvacuations(now)
 	switch e := e.(type) {
 	case Started:
 		s.start(now, e.settings)
@@ -82,6 +84,8 @@
 	case ListFailed:
 		s.listSync.watch = storeWatch{}
 		s.listFailed(now)
+	case Evacuations:
+		s.evacuationsRead(now, e)
 	case LeavingReported:
 		s.reportLeaving(now, e.id)
 	case StoreCompleted:
@@ -91,6 +95,7 @@
 	case Ticked:
 		s.tick(now)
 	case Suspended:
+		s.evacuations.suspend(e.duration)
 		s.reducePeer(now, peer.NewSuspended(e.duration))
 	case PeerEvent:
 		s.reducePeer(now, e.event)
@@ -290,7 +295,7 @@
 	}
 }
 
-// Replicas returns the heads of the replicas that serve a model.
+// Replicas returns the heads of the replicas that serve a model; pkg/replica leaves out those with a member in a closed data centre.
 func (s *State) Replicas(model string) []dispatch.Target {
 	heads := s.replica.Heads(model)
 	engines, _ := s.config.Service(s.engineService)
@@ -311,11 +316,11 @@
 	return s.replica.NextOpening(now, model)
 }
 
-// Processes returns the upstreams of a plain service.
+// Processes returns the upstreams of a plain service that may get requests.
 func (s *State) Processes(service string) []dispatch.Target {
 	var targets []dispatch.Target
 	for _, u := range s.listing.entries {
-		if u.service == service && !u.instance.Leaving() {
+		if u.service == service && !u.instance.Leaving() && !s.evacuations.isClosed(u.instance.Centre()) {
 			targets = append(targets, dispatch.NewTarget(
 				string(u.instance.ID()), u.instance.Address(), u.instance.Centre() == s.settings.centre, u.slots))
 		}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -127,7 +127,7 @@
 func (s *State) watchUpstreams(interval time.Duration) {
 	if s.listSync.watchInterval != interval {
 		s.listSync.watchInterval, s.listSync.watchesStore = interval, interval > 0
-		s.listSync.watch = storeWatch{}
+		s.listSync.watch, s.evacuations.watch = storeWatch{}, storeWatch{}
 		s.emit(WatchUpstreams{interval})
 	}
 }
@@ -184,6 +184,9 @@
 
 // sendListMessages encodes a message once and sends it to several daemons.
 func (s *State) sendListMessages(now time.Time, names []string, message listMessage) {
+	if !message.isRequest {
+		message.evacuations = s.evacuations.report(now)
+	}
 	data, err := message.encode()
 	if err != nil {
 		s.emit(Problem{"list message not encoded", err.Error()})
@@ -205,6 +208,7 @@
 		s.replyToSubscriber(now, message.From(), list)
 		return
 	}
+	s.evacuationsReceived(now, list.evacuations)
 	if message.From() == s.listSync.source {
 		s.applyListUpdate(now, list)
 	}
@@ -213,7 +217,8 @@
 // replyToSubscriber answers a request for updates of the list.
 func (s *State) replyToSubscriber(now time.Time, name string, request listMessage) {
 	sync := &s.listSync
-	if !s.listing.known || !sync.watchesStore {
+	isComplete := s.listing.known && (s.evacuations.known || s.settings.evacuationGrace == 0)
+	if !isComplete || !sync.watchesStore {
 		return
 	}
 	sync.subscribers[name] = now
@@ -307,13 +312,12 @@
 	sync.forgetGone()
 	clear(sync.pendingChanged)
 	clear(sync.pendingGone)
-	var names []string
-	for _, name := range slices.Sorted(maps.Keys(sync.subscribers)) {
-		if now.Sub(sync.subscribers[name]) > subscriberTimeout {
-			delete(sync.subscribers, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	s.sendListMessages(now, names, update)
+	s.sendListMessages(now, s.currentSubscribers(now), update)
+}
+
+// currentSubscribers returns the sorted names of the subscribers, and removes those that sent no request lately.
+func (s *State) currentSubscribers(now time.Time) []string {
+	subscribers := s.listSync.subscribers
+	maps.DeleteFunc(subscribers, func(_ string, requestedAt time.Time) bool { return now.Sub(requestedAt) > subscriberTimeout })
+	return slices.Sorted(maps.Keys(subscribers))
 }
