--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -66,6 +66,9 @@
 		d.log.Info("upstream", "leaving", "upstream", effect.ID(), "source", effect.Source())
 	case gateway.ColdChanged:
 		d.log.Info("upstream", "cold", "upstream", effect.ID(), "left", effect.Left(), "perSecond", effect.PerSecond())
+	case gateway.EvacuationChanged:
+		d.recorder.CentreEvacuated(effect.Centre(), int64(effect.Phase()))
+		d.log.Info("evacuation", effect.Phase().String(), "centre", effect.Centre(), "version", effect.Version(), "age", effect.Age())
 	case gateway.PartsSuspected:
 		d.log.Info("dispatch", "parts suspected", "parts", effect.Parts())
 	case gateway.PartMarked:
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -29,6 +29,8 @@
 	region        string
 	regions       map[string]string // by data centre
 	coldBound     dispatch.ColdBound
+
+	evacuationGrace time.Duration
 }
 
 // NewSettings returns the settings of the daemon called name in a data centre; incarnation must be unique to each start
@@ -94,6 +96,13 @@
 	return s
 }
 
+// WithEvacuationGrace returns the settings with the time from when the evacuation of a data centre is announced until it is closed; 0 if
+// evacuations have no effect.
+func (s Settings) WithEvacuationGrace(grace time.Duration) Settings {
+	s.evacuationGrace = grace
+	return s
+}
+
 // WithRetryLimits returns the settings with the limits on retries of all daemons together.
 func (s Settings) WithRetryLimits(limits dispatch.RetryLimits) Settings {
 	s.retryLimits = limits
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -69,7 +69,7 @@
 	s.stageForConversion(now)
 	model := s.largestModel()
 	for _, g := range s.record.groups {
-		if g.model == model.Name() {
+		if g.model == model.Name() || s.hasEvacuated(g) {
 			continue
 		}
 		for _, m := range g.members {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -29,7 +29,8 @@
 	steadyDemand   map[string]float64 // the average of the same over waves
 	demandReports  int
 	callsSeen      bool
-	lastConversion time.Time // when replicas of one model last gave instances to another model
+	lastConversion time.Time       // when replicas of one model last gave instances to another model
+	evacuated      map[string]bool // whether each evacuated data centre is closed
 
 	convertedInstances int // by the conversions since then
 	conversions        int // since the start
@@ -131,6 +132,8 @@
 	case StoreCompleted:
 		s.applyStoreResult(now, e.result)
 		isInstanceEvent = false
+	case CentresEvacuated:
+		s.setEvacuated(e)
 	case LeadershipChanged:
 		s.setLeading(now, e.leading)
 		isInstanceEvent = false
