gateway: Measure stalls by progress of the upstream alone

Cause: any event reset the stall timeout, also a comment or an empty line, so that a stalled stream with a byte now and then was never stalled. The timeout ran on while the caller took an event, so that a slow caller made its upstream suspect and had its stream moved. A caller that kept its connection open and read nothing held its call, and the count of its slot, without end: writing to it had no deadline.

Change: only events with an id or data are progress, and the time of writing to the caller does not count.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,7 +41,7 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body) // the request's context reports a disconnected caller to the reducer
+	_, _ = newCallerWriter(w).Write(a.body) // the request's context reports a disconnected caller to the reducer
 }
 
 // asOneThatRan returns the error answer of an upstream that ran the request, without what would tell the caller that it did not run.
@@ -190,7 +190,7 @@
 ) bool {
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
 	e.writeHead(answer.Response)
-	if _, err := io.Copy(callerWriter{e.writer}, io.MultiReader(bytes.NewReader(first), answer.Response.Body)); err != nil {
+	if _, err := io.Copy(newCallerWriter(e.writer), io.MultiReader(bytes.NewReader(first), answer.Response.Body)); err != nil {
 		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
@@ -226,21 +226,6 @@
 	e.reportBroken(ctx, send, err)
 }
 
-// callerError is an error of writing to the caller.
-type callerError struct{ error }
-
-// callerWriter marks the errors of writing to the caller.
-type callerWriter struct{ io.Writer }
-
-// Write writes to the caller.
-func (w callerWriter) Write(b []byte) (int, error) {
-	n, err := w.Writer.Write(b)
-	if err != nil {
-		err = callerError{err}
-	}
-	return n, err
-}
-
 // reportBroken reports an attempt that ended with an error while its answer was forwarded. If the caller is gone, the upstream is not to
 // blame.
 func (e *exchange) reportBroken(ctx context.Context, send dispatch.Send, err error) {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -38,6 +38,7 @@
 	buffered    *bufferedAnswer // the answer that was read completely, nil for none
 	headSent    bool            // whether the head of an answer was sent to the caller
 	lastEventID string          // of the last event sent to the caller
+	stalls      stallClock      // of the present attempt
 	via         relay.Peer      // that passes the present attempt on, the zero value if none does
 
 	bufferedBytes int64 // of the daemon's that this exchange takes
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,26 +8,12 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 )
 
-// reportStalls reports a stall at each tick, with the number of consecutive stalls. Each event of the stream resets the
-// ticker.
-func (d *Daemon) reportStalls(attempt dispatch.AttemptID, ticker *time.Ticker, stalls *atomic.Int32, ended <-chan struct{}) {
-	for {
-		select {
-		case <-ended:
-			return
-		case <-ticker.C:
-			d.enqueueDispatch(dispatch.NewStreamStalled(attempt, int(stalls.Add(1))))
-		}
-	}
-}
-
 // eventTiming measures the delays between the events of a stream.
 type eventTiming struct {
 	last       time.Time
@@ -71,12 +57,11 @@
 	defer stop()
 	ended := make(chan struct{})
 	defer close(ended)
-	var stalls atomic.Int32
 	var timing eventTiming
 	timing.start(time.Now())
-	go e.daemon.reportStalls(send.Attempt(), ticker, &stalls, ended)
+	e.stalls.begin(time.Now(), send.StallTimeout())
+	go e.reportStalls(send.Attempt(), ticker, ended)
 	err := e.relay(answer, func(first bool) {
-		stalls.Store(0)
 		ticker.Reset(send.StallTimeout())
 		timing.record(time.Now(), first)
 		if first {
@@ -99,10 +84,10 @@
 	return true
 }
 
-// relay copies events to the caller and calls onEvent after each of them.
+// relay copies events to the caller and calls onEvent after each one that has an id or data.
 func (e *exchange) relay(answer *transport.Exchange, onEvent func(first bool)) error {
 	reader := bufio.NewReader(answer.Response.Body)
-	control := http.NewResponseController(e.writer)
+	caller := newCallerWriter(e.writer)
 	first, withoutID := true, 0
 	for {
 		event, id, err := readEvent(reader)
@@ -119,21 +104,24 @@
 			return errEventOrder
 		}
 		e.writeHead(answer.Response)
-		if _, err := e.writer.Write(event); err != nil {
-			return callerError{err}
-		}
-		if err := control.Flush(); err != nil {
-			return callerError{err}
+		hasData := bytes.Contains(event, []byte("data:"))
+		e.stalls.beginWrite(time.Now())
+		err = caller.writeEvent(event)
+		e.stalls.endWrite(time.Now(), id != "" || hasData)
+		if err != nil {
+			return err
 		}
 		if id != "" {
 			e.lastEventID, withoutID = id, 0
-		} else if e.lastEventID != "" || !bytes.Contains(event, []byte("data:")) {
+		} else if e.lastEventID != "" || !hasData {
 			if withoutID++; withoutID > maxEventsWithoutID {
 				return errEventsWithoutID
 			}
 		}
-		onEvent(first)
-		first = false
+		if id != "" || hasData {
+			onEvent(first)
+			first = false
+		}
 	}
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -105,7 +105,7 @@
 		So(events(e), ShouldResemble, gone)
 
 		e = newExchange()
-		_, err = io.Copy(callerWriter{e.writer}, strings.NewReader("large"))
+		_, err = io.Copy(newCallerWriter(e.writer), strings.NewReader("large"))
 		e.reportBroken(context.Background(), send, err)
 		So(events(e), ShouldResemble, gone)
 
