--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -137,6 +137,10 @@
 		s.handleReplicaBroken(now, up, e.head)
 	case ReplicaSilent:
 		s.handleReplicaSilent(now, up, e.head)
+	case ReplicaSuspended:
+		s.handleReplicaSuspended(e)
+	case ReplicaResumed:
+		s.handleReplicaResumed(e.head)
 	case PathLost:
 		s.handlePathLost(now, up, e.upstream)
 	case UpstreamsClosed:
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -39,6 +39,7 @@
 	members       members
 	listSync      listSync
 	evacuations   evacuations
+	watcher       watcher
 	configWatch   storeWatch
 	random        *rand.Rand
 
@@ -131,6 +132,7 @@
 	s.settings = settings
 	s.members = newMembers(now, settings.name)
 	s.listSync = newListSync(now)
+	s.watcher = newWatcher()
 	s.demandByDaemon = map[string]daemonDemand{}
 	s.ownerByShard = map[dispatch.Shard]string{}
 	s.suspectedAt = map[replica.ID]time.Time{}
@@ -275,6 +277,7 @@
 	s.endCold(now)
 	s.refreshMembers(now)
 	s.refreshListSync(now)
+	s.checkWatches(now)
 	s.replaceSilentWatches(now)
 	if now.Sub(s.demandReportedAt) >= demandInterval {
 		s.reportDemand(now)
