gateway, replica: Probe each instance by two watchers

Every daemon with calls at a replica probed all of its members, and every daemon probed an instance that another one found dead: probes grew as daemons times losses. Now a daemon that suspects a replica informs its first watcher by rendezvous hash, which probes each member once; the second one, in another data centre, probes only members that miss a probe. The daemon takes over if the watcher does not reply within 300 ms. Two findings from different data centres, or that of the leader, make an instance dead for all. Followers probe dead instances each 15 s instead of 4 s; the leader tells them when one answers.

--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -128,6 +128,10 @@
 		s.handleReplicaBroken(now, e.head)
 	case ReplicaSilent:
 		s.handleReplicaSilent(now, e.head)
+	case ReplicaSuspended:
+		s.handleReplicaSuspended(e)
+	case ReplicaResumed:
+		s.handleReplicaResumed(e.head)
 	case PathLost:
 		s.handlePathLost(now, e.upstream)
 	case UpstreamThrottled:
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -88,6 +88,7 @@
 	begunSince           int       // requests of this daemon sent since the report
 	endedSince           int       // requests of this daemon ended since the report
 	avoidUntil           time.Time // gets no new requests before
+	suspendedUntil       time.Time // is probed by another daemon, which may resume it before
 	throttledUntil       time.Time // throttles this daemon until then
 	trialCalls           int       // that may run there at once since then, 0 for no limit
 	lastUsed             time.Time
--- a/pkg/gateway/components.go
+++ b/pkg/gateway/components.go
@@ -60,6 +60,8 @@
 	switch message.Topic() {
 	case listTopic:
 		s.receiveListMessage(now, message)
+	case suspicionTopic, findingTopic:
+		s.receiveWatchMessage(now, message.Topic(), message.From(), message.Data())
 	case demandTopic:
 		s.receiveDemand(now, message)
 	case slotRequestTopic, slotReplyTopic, usageTopic, crashTopic, limitTopic:
@@ -79,7 +81,9 @@
 		}
 		s.members.refreshedAt = time.Time{}
 	case deadTopic:
-		s.receiveDeath(now, fact)
+		s.receiveVerdict(now, fact.Origin(), replica.ID(fact.Key()))
+	case aliveTopic:
+		s.reduceReplica(now, replica.NewAnsweredAgain(replica.ID(fact.Key())))
 	case crashTopic:
 		s.receivePoison(now, fact)
 	case partMarkTopic:
@@ -91,17 +95,6 @@
 	}
 }
 
-// receiveDeath accepts the leader's report that an instance is dead; the report of another daemon only causes a probe.
-func (s *State) receiveDeath(now time.Time, fact peer.LearnFact) {
-	id := replica.ID(fact.Key())
-	if fact.Origin() != s.members.leader {
-		s.reduceReplica(now, replica.NewSuspected(id))
-		return
-	}
-	s.reduceReplica(now, replica.NewDeclaredDead(id))
-	s.breakReplica(now, id)
-}
-
 func (s *State) reduceReplica(now time.Time, e replica.Event) {
 	for _, effect := range s.replica.Reduce(now, e) {
 		s.handleReplicaEffect(now, effect)
@@ -114,10 +107,12 @@
 		s.emit(Store{ReplicaComponent, effect.Request()})
 	case replica.AnnounceDead:
 		s.announceDeath(now, effect.ID())
+		s.watchedDead(now, effect.ID())
 	case replica.HeadsChanged:
 		s.centresByUpstream = nil
 		s.reduceDispatch(now, dispatch.NewTicked())
 	case replica.InstanceSilent:
+		s.watchedSilent(now, effect.ID())
 		if head, isMember := s.replica.HeadOf(effect.ID()); isMember {
 			s.reduceDispatch(now, dispatch.NewReplicaSilent(string(head)))
 		}
@@ -167,16 +162,3 @@
 		s.emit(DispatchEffect{effect})
 	}
 }
-
-// suspect probes all members of the replica of an instance.
-func (s *State) suspect(now time.Time, id replica.ID) {
-	members := s.replica.Members(id)
-	if len(members) == 0 {
-		members = []replica.ID{id}
-	}
-	for _, member := range members {
-		if s.maySuspect(now, member) {
-			s.reduceReplica(now, replica.NewSuspected(member))
-		}
-	}
-}
--- a/pkg/gateway/fleet_calls_test.go
+++ b/pkg/gateway/fleet_calls_test.go
@@ -185,6 +185,12 @@
 	dispatched := func(after time.Duration, event dispatch.Event) {
 		f.after(after, func() { f.feed(d, NewDispatchEvent(event)) })
 	}
+	if e.stalled && call != nil && e.membership.Phase() == replica.PhaseOpen {
+		end()
+		f.hang(d, send, e)
+		f.reportStall(d, f.attempts[attemptKey(d, send.Attempt())], send.StallTimeout(), 1)
+		return
+	}
 	if e.down || e.membership.Phase() != replica.PhaseOpen || e.running >= 22 || call == nil {
 		end()
 		dispatched(fleetLinkDelay, dispatch.NewFailed(send.Attempt(), dispatch.NotRun))
--- a/pkg/gateway/fleet_engines_test.go
+++ b/pkg/gateway/fleet_engines_test.go
@@ -119,7 +119,11 @@
 			if from.paths[id] == pathRefuses {
 				end(results.failed(relay.NoPath))
 			}
-			if e.down || ended || from.paths[id] != pathWorks {
+			if e.down && e.refuses && !ended {
+				f.after(delay, func() { end(results.failed(relay.NoPath)) })
+				return
+			}
+			if e.down || f.now.Before(e.silentUntil) || ended || from.paths[id] != pathWorks {
 				return
 			}
 			result := results.answer(e)
@@ -218,7 +222,7 @@
 			rank = i
 		}
 	}
-	e.members, e.loaded = o.Members(), o.Model()
+	e.members, e.loaded, e.stalled = o.Members(), o.Model(), false
 	e.membership = replica.NewMembership(o.Replica(), o.Epoch(), rank, replica.PhaseJoining)
 	f.changed(e)
 	f.changeLater(e, duration, func() {
--- a/pkg/gateway/fleet_paths_test.go
+++ b/pkg/gateway/fleet_paths_test.go
@@ -85,6 +85,8 @@
 	switch {
 	case delay > 0:
 		result = relay.NewConnectFailed(check.Upstream(), d.connectTimeout(id))
+	case e != nil && e.down && e.refuses:
+		delay, result = 2*fleetLinkDelay, relay.NewConnectFailed(check.Upstream(), 0)
 	case e != nil && e.down:
 		delay, result = fleetDialTimeout, relay.NewConnectFailed(check.Upstream(), fleetDialTimeout)
 	default:
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -53,21 +53,24 @@
 
 // fleetEngine is an engine that carries out orders.
 type fleetEngine struct {
-	id         replica.ID
-	centre     string
-	domain     string
-	listed     bool
-	down       bool
-	leaving    bool
-	staged     string
-	loaded     string
-	lastModel  string
-	membership replica.Membership
-	members    []replica.ID
-	change     int       // number of the last change, so that a superseded one has no effect
-	stagedAt   time.Time // end of the last staging
-	running    int       // calls
-	prefilled  time.Time // when the prompts sent so far will be prefilled
+	id          replica.ID
+	centre      string
+	domain      string
+	listed      bool
+	down        bool
+	refuses     bool      // new connections while it is down
+	silentUntil time.Time // does not answer probes and orders before
+	stalled     bool      // as the head of a replica that lost a member: calls get no events
+	leaving     bool
+	staged      string
+	loaded      string
+	lastModel   string
+	membership  replica.Membership
+	members     []replica.ID
+	change      int       // number of the last change, so that a superseded one has no effect
+	stagedAt    time.Time // end of the last staging
+	running     int       // calls
+	prefilled   time.Time // when the prompts sent so far will be prefilled
 }
 
 // fleetDaemon is a daemon with the counts of its work.
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -82,6 +82,7 @@
 	}
 	fresh := s.freshMembers(now)
 	s.refreshRelays(now, fresh)
+	s.refreshWatchers(now, fresh)
 	ranking := s.rankMembers(now, fresh)
 	s.chooseReaders(now, ranking)
 	s.chooseLeader(now, s.byPaths(now, ranking))
@@ -122,6 +123,7 @@
 	m.resumedAt, m.refreshedAt = now, time.Time{}
 	clear(m.disconnected)
 	m.candidate, m.candidateSince = "", now
+	s.watcher = newWatcher()
 	if m.leader == "" {
 		return
 	}
--- a/pkg/gateway/paths.go
+++ b/pkg/gateway/paths.go
@@ -114,5 +114,15 @@
 	if !isEvidence {
 		result = replica.NewProbeInconclusive(result.ID())
 	}
+	wasDead := s.replica.IsDead(result.ID())
 	s.reduceReplica(now, result)
+	switch {
+	case result.Answered():
+		s.watchedAnswered(now, result.ID())
+		if wasDead && s.replica.Leading() {
+			s.reducePeer(now, peer.NewFactShared(aliveTopic, upstream, []byte{1}, now.Add(deadFactTTL)))
+		}
+	case isEvidence:
+		s.watchedMissed(now, result.ID())
+	}
 }
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -38,6 +38,7 @@
 	listing       listing
 	members       members
 	listSync      listSync
+	watcher       watcher
 	configWatch   storeWatch
 	random        *rand.Rand
 
@@ -121,6 +122,7 @@
 	s.settings = settings
 	s.members = newMembers(now, settings.name)
 	s.listSync = newListSync(now)
+	s.watcher = newWatcher()
 	s.demandByDaemon = map[string]daemonDemand{}
 	s.ownerByShard = map[dispatch.Shard]string{}
 	s.suspectedAt = map[replica.ID]time.Time{}
@@ -259,6 +261,7 @@
 	}
 	s.refreshMembers(now)
 	s.refreshListSync(now)
+	s.checkWatches(now)
 	s.replaceSilentWatches(now)
 	if now.Sub(s.demandReportedAt) >= demandInterval {
 		s.reportDemand(now)
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is an input of the planner: Configured, Listed, Probed, Suspected, DeclaredDead, OrderAnswered, StoreCompleted,
-// LeadershipChanged, DemandReported, CallsArrived, StoreEra, ProbesPaused,
+// LeadershipChanged, DemandReported, CallsArrived, StoreEra, ProbesPaused, SilenceReported, AnsweredAgain,
 // Delayed or Ticked.
 type Event interface{ isEvent() }
 
@@ -142,6 +142,21 @@
 // NewProbesPaused returns the event that the instance called id must not be probed before until.
 func NewProbesPaused(id ID, until time.Time) ProbesPaused { return ProbesPaused{id, until} }
 
+// SilenceReported says that an instance misses the probes of another daemon, but may still be alive.
+type SilenceReported struct {
+	id    ID
+	until time.Time
+}
+
+// NewSilenceReported returns the event that the instance called id is silent for another daemon; its replica gets no new calls before until.
+func NewSilenceReported(id ID, until time.Time) SilenceReported { return SilenceReported{id, until} }
+
+// AnsweredAgain says that a dead instance answered another daemon.
+type AnsweredAgain struct{ id ID }
+
+// NewAnsweredAgain returns the event that the instance called id answered another daemon.
+func NewAnsweredAgain(id ID) AnsweredAgain { return AnsweredAgain{id} }
+
 // Delayed says that this daemon handles its events late.
 type Delayed struct{ lag time.Duration }
 
@@ -178,6 +193,10 @@
 
 func (ProbesPaused) isEvent() {}
 
+func (SilenceReported) isEvent() {}
+
+func (AnsweredAgain) isEvent() {}
+
 func (Delayed) isEvent() {}
 
 func (Ticked) isEvent() {}
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -18,7 +18,7 @@
 	maxProbesInFlight     = 32                     // more would take a small instance longer than their timeout to handle
 	probeWaits            = 5                      // how often a probe waits for this daemon: to connect, write, read, decode and reduce
 	leaderProbeInterval   = time.Second            // for dead instances, until they answer or are removed from the list
-	followerProbeInterval = 4 * time.Second        // on other daemons; the list drops a silent instance after three heartbeats
+	followerProbeInterval = 15 * time.Second       // on other daemons, which the leader tells of an answer
 )
 
 // suspect probes an instance that may be dead.
@@ -124,11 +124,42 @@
 	}
 }
 
+// IsKnown reports whether an instance is listed.
+func (s *State) IsKnown(id ID) bool { return s.nodes[id] != nil }
+
+// IsDead reports whether an instance is taken for dead.
+func (s *State) IsDead(id ID) bool { return s.deadIDs[id] }
+
 // forgetMisses makes the next probe the first one of a row.
 func (n *node) forgetMisses() { n.missedProbes, n.inconclusiveProbes = 0, 0 }
 
 // isSilent reports whether an instance misses probes, but may still be alive.
-func (n *node) isSilent() bool { return n.missedProbes >= silentProbes }
+func (n *node) isSilent() bool { return n.missedProbes >= silentProbes || !n.silenceReported.IsZero() }
+
+// reportSilence excludes the replica of an instance that is silent for another daemon.
+func (s *State) reportSilence(e SilenceReported) {
+	if n := s.nodes[e.id]; n != nil {
+		n.silenceReported = e.until
+		s.reportedIDs[e.id] = true
+	}
+}
+
+// endReportedSilences ends the silences that were reported long ago, and reports whether there were any.
+func (s *State) endReportedSilences(now time.Time) bool {
+	hasEnded := false
+	for id := range s.reportedIDs {
+		n := s.nodes[id]
+		if n != nil && now.Before(n.silenceReported) {
+			continue
+		}
+		delete(s.reportedIDs, id)
+		if n != nil {
+			n.silenceReported = time.Time{}
+		}
+		hasEnded = true
+	}
+	return hasEnded
+}
 
 // probeSilent probes the instances again that have missed enough probes, but not for long enough.
 func (s *State) probeSilent(now time.Time) {
@@ -160,6 +191,7 @@
 	previous := n.membership
 	s.setDead(n, false)
 	n.forgetMisses()
+	n.silenceReported = time.Time{}
 	s.isPlanUrgent = s.isPlanUrgent || isRestarted || report.membership.phase == PhaseBroken && previous.phase != PhaseBroken
 	s.noteEpoch(report.membership.epoch)
 	n.incarnation, n.loadedModel, n.stagedModels = report.incarnation, report.loadedModel, report.stagedModels
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -17,6 +17,7 @@
 	sortedIDs      []ID              // of the nodes
 	deadIDs        map[ID]bool       // of the nodes that do not answer probes
 	silentIDs      map[ID]bool       // of the nodes that are probed again after minProbeInterval
+	reportedIDs    map[ID]bool       // of the nodes that are silent for another daemon
 	heads          map[string][]Head // by model
 	storeEra       uint64            // 0 if unknown
 	highestEpoch   uint64            // of the records and the reports that this daemon has seen
@@ -71,6 +72,7 @@
 	lastProbe           time.Time // when the last probe was sent
 	probing             bool      // a probe runs or is queued
 	probeQueued         bool
+	silenceReported     time.Time // end of the silence that another daemon reported, zero for none
 	probesPausedUntil   time.Time // it throttles this daemon until then
 
 	orderedWhileThrottled bool          // an order was sent to it meanwhile
@@ -84,6 +86,7 @@
 		nodes:             map[ID]*node{},
 		deadIDs:           map[ID]bool{},
 		silentIDs:         map[ID]bool{},
+		reportedIDs:       map[ID]bool{},
 		heads:             map[string][]Head{},
 		formerAssignments: map[ID][]assignment{},
 		closed:            map[replicaEpoch]bool{},
@@ -117,6 +120,9 @@
 		isInstanceEvent = false
 	case DeclaredDead:
 		if n := s.nodes[e.id]; n != nil {
+			if s.leading && !n.dead {
+				s.emit(LogEntry{message: "instance dead", replica: n.membership.replica, members: []ID{e.id}, reason: "found by two daemons"})
+			}
 			n.lastProbe = now
 			s.setDead(n, true)
 		}
@@ -144,10 +150,17 @@
 			n.probesPausedUntil = e.until
 		}
 		isInstanceEvent = false
+	case SilenceReported:
+		s.reportSilence(e)
+	case AnsweredAgain:
+		if n := s.nodes[e.id]; n != nil && n.dead && !n.probing {
+			s.probe(now, e.id, n)
+		}
+		isInstanceEvent = false
 	case Ticked:
 		s.probeDead(now)
 		s.probeSilent(now)
-		isInstanceEvent = false
+		isInstanceEvent = s.endReportedSilences(now)
 	}
 	if isInstanceEvent {
 		s.updateHeads()
