--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -113,7 +113,10 @@
 
 // report returns the set as it is sent to other daemons.
 func (s *evacuations) report(now time.Time) evacuationSet {
-	set := evacuationSet{s.known, s.era, s.version, map[string]time.Duration{}}
+	if !s.known {
+		return evacuationSet{}
+	}
+	set := evacuationSet{true, s.era, s.version, map[string]time.Duration{}}
 	for centre, e := range s.byCentre {
 		set.ages[centre] = e.age(now)
 	}
@@ -235,6 +238,9 @@
 
 // refreshEvacuations applies the phases that are due, and reports whether one has changed.
 func (s *State) refreshEvacuations(now time.Time) bool {
+	if len(s.evacuations.byCentre) == 0 {
+		return false
+	}
 	changes := s.evacuations.advance(now, s.settings.evacuationGrace)
 	if len(changes) == 0 {
 		return false
