--- a/pkg/replica/conversion.go
+++ b/pkg/replica/conversion.go
@@ -252,10 +252,7 @@
 		}
 	}
 	if limit := d.engine.MaxConcurrentLoads(); loads > 0 && limit > 0 {
-		if !d.hasCountedLoads {
-			d.running, d.hasCountedLoads = d.runningLoads(d.now), true
-		}
-		loads += d.running
+		loads += d.runningLoads(d.now)
 		slowest *= time.Duration((loads + limit - 1) / limit)
 	}
 	return drainTimeout + slowest + d.engine.FormationTime()
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -31,9 +31,6 @@
 	changed  bool
 	byDomain map[string][]ID    // the instances that are alive, not leaving and not evacuated, sorted
 	staged   map[string]float64 // replicas of each model that are to be formed of staged instances
-
-	running         int // loads, if counted; each count takes as long as a pass over all instances
-	hasCountedLoads bool
 }
 
 // newDraft returns a draft that starts with the groups of next.
