--- a/pkg/replica/conversion.go
+++ b/pkg/replica/conversion.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -75,13 +74,13 @@
 	return d.steadyDemand[model.Name()] > enoughPressure*max(d.capacity(model), 0.5)
 }
 
-// capacity returns the replicas of a model in the draft whose members are listed and those that staged instances will form.
-// Those that span domains count less, as they are slower.
+// capacity returns the replicas of a model in the draft and those that staged instances will form. Those that span domains count
+// less, as they are slower.
 func (d *draft) capacity(model route.Model) float64 {
 	capacity := d.staged[model.Name()]
 	for _, g := range d.next.groups {
 		switch {
-		case g.model != model.Name() || !d.isListed(g):
+		case g.model != model.Name():
 		case d.isCrossDomain(g):
 			capacity += 1 / d.engine.CrossDomainFactor()
 		default:
@@ -267,11 +266,6 @@
 // apply makes a conversion.
 func (d *draft) apply(c conversion) {
 	d.conversions++
-	d.emit(LogEntry{
-		message: "replicas converted", model: c.model.Name(), members: c.members, reason: fmt.Sprintf(
-			"pressure %.2f, gain %.2f per s after %v, loss %.2f per s of %d replicas",
-			d.steadyDemand[c.model.Name()]/max(d.capacity(c.model), 0.5), c.gain, c.delay, c.loss, len(c.victims)),
-	})
 	for _, victim := range c.victims {
 		d.remove(victim)
 		d.convertedInstances += len(victim.members)
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -43,9 +43,7 @@
 	s.lastOrders = map[ID]map[Verb]*sentOrder{}
 	if leading {
 		s.writer.Reset()
-		return
 	}
-	s.steadyDemand, s.demandReports = nil, 0 // outdated when it leads again
 }
 
 // Leading reports whether this daemon is the leader, which forms the replicas.
--- a/pkg/replica/scarcestage.go
+++ b/pkg/replica/scarcestage.go
@@ -33,14 +33,12 @@
 	for _, m := range d.engine.Models() {
 		capacities[m.Name()] = d.capacity(m)
 	}
-	groups := slices.DeleteFunc(slices.Clone(s.record.groups), func(g group) bool {
-		return g.model == model.Name() || !d.isListed(g)
-	})
+	groups := slices.Clone(s.record.groups)
 	slices.SortStableFunc(groups, func(a, b group) int {
 		return cmp.Compare(len(a.members)-d.warmMembers(a, model), len(b.members)-d.warmMembers(b, model))
 	})
 	for _, g := range groups {
-		if capacities[g.model] <= 1 {
+		if g.model == model.Name() || !d.isListed(g) || capacities[g.model] <= 1 {
 			continue
 		}
 		other, _ := d.engine.Model(g.model)
