--- a/pkg/replica/conversion.go
+++ b/pkg/replica/conversion.go
@@ -21,9 +21,9 @@
 	// conversionHorizon is for how long a conversion is expected to be of use. The load shifts within minutes.
 	conversionHorizon = time.Minute
 
-	// minGainRatio is how many times the gain of a conversion exceeds its loss. The averages of waves of 15 s with a swing of
-	// 0.55 vary by 8 in 100, so the ratio of those of two models by 17 in 100. A lower value caused conversions back.
-	minGainRatio = 1.25
+	// minGainRatio is how many times the gain of a conversion exceeds its loss. The average of waves of 15 s with a swing of
+	// 0.55 varies by 8 in 100, so that conversions there and back would need a ratio of 1.16 of two of them.
+	minGainRatio = 1.15
 
 	// maxConvertedShare is the share of the instances that conversions may take out of service within conversionInterval.
 	maxConvertedShare = 0.125
@@ -74,10 +74,9 @@
 	return d.steadyDemand[model.Name()] > enoughPressure*max(d.capacity(model), 0.5)
 }
 
-// capacity returns the replicas of a model in the draft and those that staged instances will form. Those that span domains count
-// less, as they are slower.
+// capacity returns the replicas of a model in the draft. Those that span domains count less, as they are slower.
 func (d *draft) capacity(model route.Model) float64 {
-	capacity := d.staged[model.Name()]
+	capacity := 0.0
 	for _, g := range d.next.groups {
 		switch {
 		case g.model != model.Name():
--- a/pkg/replica/crossdomain.go
+++ b/pkg/replica/crossdomain.go
@@ -49,9 +49,6 @@
 		return
 	}
 	for _, model := range d.byPressure() {
-		if d.isScarce() && d.capacity(model) >= 1 && !d.isFastAcrossDomains(model) {
-			continue // the instances are of more use as spares
-		}
 		free := d.warmAcrossDomains(model)
 		for len(free) >= model.ReplicaSize() {
 			var members []member
@@ -64,13 +61,6 @@
 	}
 }
 
-// isFastAcrossDomains reports whether a replica that spans domains is as fast with one call as another one with all slots in
-// use, so that its calls meet their goals.
-func (d *draft) isFastAcrossDomains(model route.Model) bool {
-	slowed := d.engine.CrossDomainFactor() * d.engine.StepTime(model, 1).Seconds()
-	return slowed <= d.engine.StepTime(model, d.engine.Slots()).Seconds()
-}
-
 // warmAcrossDomains returns the idle instances of all domains that are warm for model. Domains with the most of them come
 // first, so that a replica spans few domains.
 func (d *draft) warmAcrossDomains(model route.Model) []ID {
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -29,13 +29,12 @@
 	next     record
 	assigned map[ID]bool
 	changed  bool
-	byDomain map[string][]ID    // the instances that are alive, not leaving and not evacuated, sorted
-	staged   map[string]float64 // replicas of each model that are to be formed of staged instances
+	byDomain map[string][]ID // the instances that are alive, not leaving and not evacuated, sorted
 }
 
 // newDraft returns a draft that starts with the groups of next.
 func (s *State) newDraft(now time.Time, next record) *draft {
-	d := &draft{State: s, now: now, next: next, assigned: map[ID]bool{}, byDomain: map[string][]ID{}, staged: map[string]float64{}}
+	d := &draft{State: s, now: now, next: next, assigned: map[ID]bool{}, byDomain: map[string][]ID{}}
 	for _, id := range s.ids() {
 		if n := s.nodes[id]; n.isAlive() && !n.leaving && !s.isEvacuated(n) {
 			d.byDomain[n.domain] = append(d.byDomain[n.domain], id)
@@ -63,19 +62,14 @@
 		d.changed = true
 		d.assign(group{members: d.survivors(g)}) // so that no other repair takes them
 	}
-	var removed []group
-	if d.isScarce() {
-		removed = d.removeCrossDomain() // their members repair others
-	}
 	for _, g := range broken {
 		d.repair(g)
 	}
 	switch {
 	case now.Sub(s.lastArrival) < settleTime && len(s.nodes) >= minFleetToFormEarly:
 		d.formWhileListing()
-		d.restoreCrossDomain(removed)
 	case now.Sub(s.lastArrival) >= settleTime:
-		removed = append(removed, d.removeCrossDomain()...)
+		removed := d.removeCrossDomain()
 		d.form()
 		if d.isScarce() {
 			d.convertScarce()
@@ -83,8 +77,6 @@
 		d.restoreCrossDomain(removed)
 		d.formCrossDomain()
 		d.convert()
-	default:
-		d.restoreCrossDomain(removed)
 	}
 	return d.next, d.changed
 }
@@ -140,10 +132,6 @@
 	if len(members) == 0 {
 		return
 	}
-	if d.isScarce() && d.isCrossDomain(group{members: members}) {
-		d.release(members)
-		return
-	}
 	model, _ := d.engine.Model(g.model)
 	domain := d.nodes[members[0].id].domain
 	missing := model.ReplicaSize() - len(members)
--- a/pkg/replica/stage.go
+++ b/pkg/replica/stage.go
@@ -66,29 +66,23 @@
 // stageMembers stages the largest model on the hosts of members of other replicas, so that they can join one of its replicas
 // within seconds. The members serve calls meanwhile.
 func (s *State) stageMembers(now time.Time) {
-	s.stageForConversion(now)
 	model := s.largestModel()
 	for _, g := range s.record.groups {
 		if g.model == model.Name() || s.hasEvacuated(g) {
 			continue
 		}
 		for _, m := range g.members {
-			s.stageMember(now, g, m, model, maxStagingShare)
+			n := s.nodes[m.id]
+			o := Order{verb: VerbStage, model: model.Name()}
+			if n.isAlive() && n.membership.isIn(g.name, g.epoch) && n.membership.phase != PhaseJoining &&
+				!n.hasStaged(model.Name()) &&
+				n.lastModel != model.Name() && !s.mustDefer(now, n, o) && s.tryLoad(now, maxStagingShare) {
+				s.send(now, n, o, model.LoadTime())
+			}
 		}
 	}
 }
 
-// stageMember stages a model on the host of a member of a replica, while share of the allowed concurrent loads is not in use.
-func (s *State) stageMember(now time.Time, g group, m member, model route.Model, share float64) {
-	n := s.nodes[m.id]
-	o := Order{verb: VerbStage, model: model.Name()}
-	if n.isAlive() && n.membership.isIn(g.name, g.epoch) && n.membership.phase != PhaseJoining &&
-		!n.hasStaged(model.Name()) &&
-		n.lastModel != model.Name() && !s.mustDefer(now, n, o) && s.tryLoad(now, share) {
-		s.send(now, n, o, model.LoadTime())
-	}
-}
-
 // stagingOption is a replica that idle instances of a domain could form once its model is staged on some of their hosts.
 type stagingOption struct {
 	model    route.Model
@@ -138,7 +132,7 @@
 			}
 			ids := free[:m.ReplicaSize()]
 			unstaged := ids[min(d.countWarm(free, m), m.ReplicaSize()):]
-			gain := d.stagingGain(m, ids) / float64(max(len(unstaged), 1))
+			gain := d.pressure(m, d.replicaCount(m)) / float64(max(len(unstaged), 1))
 			if gain > best.gain {
 				best, bestIDs = stagingOption{m, unstaged, gain}, ids
 			}
@@ -147,7 +141,6 @@
 			return append(options, d.spareStaging(domain)...)
 		}
 		options = append(options, best)
-		d.staged[best.model.Name()]++
 		for _, id := range bestIDs {
 			d.assigned[id] = true
 		}
