--- a/pkg/replica/demand.go
+++ b/pkg/replica/demand.go
@@ -25,7 +25,6 @@
 
 // updateDemand adds the work of the last second to the moving average.
 func (s *State) updateDemand(work map[string]float64) {
-	s.updateSteadyDemand(work)
 	if s.demand == nil {
 		s.demand = work
 		return
@@ -125,7 +124,7 @@
 
 // convert dissolves replicas of models under low pressure and forms one of the model under the highest pressure.
 func (d *draft) convert() {
-	if d.isScarce() || d.demand == nil || d.now.Sub(d.lastConversion) < conversionInterval || d.isForming(d.next.groups) {
+	if d.demand == nil || d.now.Sub(d.lastConversion) < conversionInterval || d.isForming(d.next.groups) {
 		return
 	}
 	model := d.byPressure()[0]
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -71,9 +71,6 @@
 	case now.Sub(s.lastArrival) >= settleTime:
 		removed := d.removeCrossDomain()
 		d.form()
-		if d.isScarce() {
-			d.convertScarce()
-		}
 		d.restoreCrossDomain(removed)
 		d.formCrossDomain()
 		d.convert()
@@ -136,9 +133,6 @@
 	domain := d.nodes[members[0].id].domain
 	missing := model.ReplicaSize() - len(members)
 	spares := d.eligible(domain, model)
-	if len(spares) < missing && d.isScarce() && d.repairScarce(g, members) {
-		return
-	}
 	if len(spares) < missing && d.dissolve(domain, model, missing-len(spares), repairMargin) {
 		spares = d.eligible(domain, model)
 	}
--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -19,9 +19,6 @@
 	simReportLag     = 300 * time.Millisecond // reports lag by some hundred ms
 	simStall         = 4 * time.Second
 	simUnlistDelay   = 3600 * time.Millisecond // three missed heartbeats
-
-	simConcurrentLoads   = 6
-	simCrossDomainFactor = 4.0
 )
 
 var simStart = time.Unix(1_700_000_000, 0).UTC()
@@ -64,9 +61,6 @@
 // simulation is a fleet of engines, a store and daemons, with time in fixed steps.
 type simulation struct {
 	now           time.Time
-	models        []route.Model
-	losses        []time.Time // of engines that were replaced
-	emptySince    []time.Time // when engines without a model joined
 	engines       []*simEngine
 	daemons       []*simDaemon
 	storedValue   []byte // the record in the store
@@ -95,12 +89,7 @@
 }
 
 func newSimulation(domains, perDomain, daemons int) *simulation {
-	return newModelSimulation(domains, perDomain, daemons, large, small)
-}
-
-// newModelSimulation returns a simulation of engines that run these models.
-func newModelSimulation(domains, perDomain, daemons int, models ...route.Model) *simulation {
-	sim := &simulation{now: simStart, models: models, storeUp: true, era: 1}
+	sim := &simulation{now: simStart, storeUp: true, era: 1}
 	for d := range domains {
 		for i := range perDomain {
 			sim.engines = append(sim.engines, &simEngine{
@@ -108,10 +97,9 @@
 			})
 		}
 	}
-	engine := route.NewEngine(26, models...).
+	engine := route.NewEngine(26, large, small).
 		WithStepTimes(6*time.Millisecond, 241*time.Microsecond, 5, 46000, 2048).
-		WithCrossDomainFactor(simCrossDomainFactor).
-		WithLoadLimits(4, simConcurrentLoads, 1, simFormationTime)
+		WithLoadLimits(4, 6, 1, simFormationTime)
 	for i := range daemons {
 		name := string(rune('a' + i))
 		d := &simDaemon{name: name, listed: map[ID]Instance{}}
@@ -196,7 +184,11 @@
 
 // checkOpen records a violation if a replica opens before all its members were ready in it.
 func (sim *simulation) checkOpen(head *simEngine) {
-	if len(head.members) != sim.model(head.loadedModel).ReplicaSize() {
+	model := large
+	if head.loadedModel == small.Name() {
+		model = small
+	}
+	if len(head.members) != model.ReplicaSize() {
 		sim.violations = append(sim.violations,
 			fmt.Sprintf("%s opened with %d members", head.membership.replica, len(head.members)))
 	}
@@ -383,7 +375,7 @@
 		}
 	case VerbStage:
 		sim.noteLoad()
-		sim.after(sim.model(o.Model()).LoadTime(), func() { e.stagedModel = o.Model() })
+		sim.after(modelOf(o.Model()).LoadTime(), func() { e.stagedModel = o.Model() })
 	}
 	return ReplyBegun
 }
@@ -395,13 +387,11 @@
 	}
 }
 
-func (sim *simulation) model(name string) route.Model {
-	for _, m := range sim.models {
-		if m.Name() == name {
-			return m
-		}
+func modelOf(name string) route.Model {
+	if name == small.Name() {
+		return small
 	}
-	panic("unknown model " + name)
+	return large
 }
 
 func (sim *simulation) join(e *simEngine, o Order) Reply {
@@ -412,12 +402,12 @@
 		return ReplyDone
 	}
 	sim.checkJoin(e, o)
-	duration := sim.model(o.Model()).LoadTime()
+	duration := modelOf(o.Model()).LoadTime()
 	switch {
 	case e.lastModel == o.Model():
 		duration = rejoinTime
 	case e.stagedModel == o.Model():
-		duration = sim.model(o.Model()).WarmLoadTime()
+		duration = modelOf(o.Model()).WarmLoadTime()
 	default:
 		sim.noteLoad()
 		e.stagedModel = o.Model()
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -27,15 +27,10 @@
 	probeQueue     []ID               // of the nodes that wait for a probe
 	lastArrival    time.Time          // when an unknown instance was last listed
 	demand         map[string]float64 // replicas that each model keeps busy, nil before the first report
-	steadyDemand   map[string]float64 // the average of the same over waves
-	demandReports  int
 	callsSeen      bool
 	lastConversion time.Time       // when replicas of one model last gave instances to another model
 	evacuated      map[string]bool // whether each evacuated data centre is closed
 
-	convertedInstances int // by the conversions since then
-	conversions        int // since the start
-
 	leading           bool
 	record            record
 	writer            object.Writer
@@ -59,7 +54,6 @@
 	lastStaging       time.Time
 	lastCounts        time.Time
 	noTransfers       bool                 // replicas never give members to others; for comparison in tests
-	equalPlanOnly     bool                 // scarce models are planned like others; for comparison in tests
 	closingSince      map[string]time.Time // when the close of a replica began, by name
 
 	effects []Effect
