dispatch: Refuse calls at arrival with a reserved time

The owner of a shard now refuses such a call when it arrives, and reserves a time for it among the slots that calls on time leave. The content hash in the slot request identifies the retry, which asks all shards. A caller that returns early waits until its reservation is due. The time that the caller has used counts towards the goal. Late waiting calls no longer count in the load by which daemons choose a shard. Limits use the same reservations.

TestLimitRefusals: callers return with their own content, which now identifies them; before, any call that was late took a reservation.

--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -43,6 +43,7 @@
 	lives           map[int]int       // number of the restarts of a daemon
 	crashedAt       []time.Time
 	config          route.Config
+	onRefused       func(*clusterCall) // called with each call that is refused, nil for nothing
 }
 
 // clusterCall is a request to one daemon.
@@ -63,6 +64,12 @@
 	begunAtFirst bool // its first attempt delivered an event
 	attempt      AttemptID
 	upstream     string
+	path         string
+	output       int // tokens, 0 for 100, which take callTime
+	isLarge      bool
+	first        *clusterCall // the caller's first try, nil if this is it
+	tries        int          // that followed this first one
+	isPunctual   bool         // the caller returned when it was told to
 }
 
 func newCluster(daemons, replicas int, withoutSlots bool) *cluster {
@@ -176,6 +183,9 @@
 			c := cl.calls[effect.ID()]
 			c.isRefused, c.retryAfter, c.reason = true, effect.RetryAfter(), effect.Reason()
 			c.refusedAfter = cl.now.Sub(c.arrived)
+			if cl.onRefused != nil {
+				cl.onRefused(c)
+			}
 		case ReportCrash:
 			cl.deliver(strconv.Itoa(int(effect.ContentHash()%uint64(len(cl.daemons)))),
 				NewCrashReported(effect.ContentHash(), effect.Upstream()))
@@ -252,7 +262,7 @@
 		}
 		a, slow := c.attempt, time.Duration(max(cl.slowdown[name], 1))
 		cl.after(slow*cmp.Or(cl.firstEventTime, firstEventDelay), func() { cl.begin(c, a) })
-		cl.after(slow*callTime, func() { cl.end(c, a) })
+		cl.after(slow*callTime*time.Duration(cmp.Or(c.output, 100))/100, func() { cl.end(c, a) })
 	}
 }
 
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -104,7 +104,7 @@
 func (s *State) requestSlot(now time.Time, up Upstreams, c *call) {
 	shard, isFound := s.pickShard(now, up, c)
 	maxWait := time.Duration(0)
-	if len(c.deniedShards) >= maxShardTries || !isFound || shard.service != "" {
+	if len(c.deniedShards) >= s.shardTries(c) || !isFound || shard.service != "" {
 		shard, isFound = s.leastLoadedShard(now, up, c)
 		maxWait = max(s.waitDeadline(c).Sub(now), 1)
 	}
@@ -119,6 +119,7 @@
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
 		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried,
+		content: c.contentHash,
 	}
 	if owner != "" {
 		s.emit(RequestSlot{owner, request})
@@ -183,7 +184,7 @@
 	engine, model := s.engineOf(c)
 	firstEvent := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, engine.Slots()))) +
 		firstEventPrefills*engine.Read(model, c.promptTokens)
-	return c.arrived.Add(c.route.LatencyGoal() - firstEvent)
+	return c.arrived.Add(c.route.LatencyGoal() - c.usedTime() - firstEvent)
 }
 
 // The time to the first event of a call at a full replica is firstEventIntervals event intervals plus firstEventPrefills
@@ -262,8 +263,10 @@
 		s.placeWithoutSlot(now, up, c)
 	case !pending.isLast:
 		s.requestSlot(now, up, c)
-	case e.retryAfter > 0:
+	case e.retryAfter > 0 && s.hasLimited(up, c):
 		s.giveUp(now, c, UpstreamLimit, e.retryAfter)
+	case e.retryAfter > 0:
+		s.giveUp(now, c, Overload, e.retryAfter)
 	default:
 		s.giveUp(now, c, Overload, s.slotRetryAfter(now, c))
 	}
--- a/pkg/dispatch/overload.go
+++ b/pkg/dispatch/overload.go
@@ -19,6 +19,7 @@
 func (t *slotTable) countOffer(now time.Time, w slotWaiter) {
 	if w.onTimeWait > 0 {
 		t.offeredRate.add(now)
+		t.urgentRate(w.priority).add(now)
 	}
 	if !t.offersExceedGrants(now) {
 		t.balancedAt = now
@@ -39,7 +40,11 @@
 // longestWait returns how long a call may be expected to wait for a slot.
 func (t *slotTable) longestWait(now time.Time, w slotWaiter) time.Duration {
 	if t.isOverloaded(now) && !t.isUnderserved(now, w.organisation) {
-		return min(w.onTimeWait, w.maxWait)
+		longest := min(w.onTimeWait, w.maxWait)
+		if refusesAtArrival(t.policy) && !t.isLimited {
+			longest = time.Duration(maxQueuedRatio * float64(longest))
+		}
+		return longest
 	}
 	return w.maxWait
 }
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -15,6 +15,9 @@
 // oldestFirst grants slots in order of arrival while an overload lasts.
 type oldestFirst struct{}
 
+// lateRefusal refuses calls when they can no longer be on time, not when they arrive, and keeps no reservations without limits.
+type lateRefusal struct{}
+
 func (arrivalOrder) isPolicy() {}
 
 func (noSlots) isPolicy() {}
@@ -23,6 +26,8 @@
 
 func (oldestFirst) isPolicy() {}
 
+func (lateRefusal) isPolicy() {}
+
 // isByUrgency reports whether urgent calls are served before others.
 func isByUrgency(p policy) bool {
 	switch p.(type) {
@@ -58,3 +63,12 @@
 	}
 	return true
 }
+
+// refusesAtArrival reports whether calls for which no slot is expected in time are refused when they arrive.
+func refusesAtArrival(p policy) bool {
+	switch p.(type) {
+	case lateRefusal, noOverloadLimit, oldestFirst:
+		return false
+	}
+	return true
+}
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -13,6 +13,7 @@
 	organisation string
 	timeLeft     time.Duration
 	tried        []string
+	content      uint64
 }
 
 // NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
@@ -40,6 +41,12 @@
 	return r
 }
 
+// WithContent returns the request with a hash of the content of the call, which identifies its caller's retries.
+func (r SlotRequest) WithContent(hash uint64) SlotRequest {
+	r.content = hash
+	return r
+}
+
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
@@ -66,3 +73,6 @@
 
 // Tried returns the upstreams to which the call was sent before.
 func (r SlotRequest) Tried() []string { return r.tried }
+
+// Content returns the hash of the content of the call, 0 if unknown.
+func (r SlotRequest) Content() uint64 { return r.content }
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -23,11 +23,13 @@
 	grantedRate rate             // of slots granted
 	balancedAt  time.Time        // when the granted slots last sufficed for the offered calls
 	offeredRate rate             // of calls that could meet their goal when they requested a slot
+	urgentRates map[int]*rate    // of these, by priority
 
-	isLimited     bool        // all upstreams of the shard name limits
-	hasLimits     bool        // one of them does
-	limitedReturn time.Time   // the latest time at which a denied call was told to return
-	returns       []time.Time // the times at which denied calls were told to return, in order
+	isLimited     bool          // all upstreams of the shard name limits
+	hasLimits     bool          // one of them does
+	limitedReturn time.Time     // the latest time at which a denied call was told to return
+	lastReturn    time.Time     // the latest time of a reservation
+	returns       []reservation // of denied calls, in order
 
 	policy    policy
 	lastSlack time.Time // when slots last sufficed for calls that can no longer meet their goal
@@ -54,15 +56,15 @@
 // slotWaiter is a slot request that waits, with the daemon that sent it.
 type slotWaiter struct {
 	SlotRequest
-	daemon     string
-	queuedAt   time.Time
-	isExpected bool // the call was denied before and told to return now
+	daemon   string
+	queuedAt time.Time
+	due      time.Time // of the call's reservation, zero for none
 }
 
 func (s *State) slotTable(shard Shard) *slotTable {
 	t := s.slotTables[shard]
 	if t == nil {
-		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, policy: s.policy}
+		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, urgentRates: map[int]*rate{}, policy: s.policy}
 		s.slotTables[shard] = t
 	}
 	return t
@@ -107,13 +109,13 @@
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
 	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
-	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: len(table.waiters) + 1}
+	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: table.queued(now) + 1}
 	if !s.hasReplicas(up, request.shard) {
 		reply.status = SlotNoReplicas
 		return reply
 	}
 	s.refreshLimits(now, up, request.shard)
-	waiter.isExpected = table.takeReturn(now, request)
+	table.takeReservation(now, &waiter)
 	if len(table.waiters) == 0 {
 		table.lastSlack = now
 		if target, isFree := s.bestReplica(now, up, request); isFree {
@@ -121,18 +123,17 @@
 			return s.grantSlot(now, up, table, waiter, target)
 		}
 	}
-	if request.maxWait == 0 {
+	if waiter.maxWait == 0 {
 		return reply
 	}
 	table.countOffer(now, waiter)
 	if len(table.waiters) < maxSlotWaiters && !table.isUnservable(now, waiter) &&
-		s.expectedSlotWait(now, up, waiter) <= table.longestWait(now, waiter) {
+		(!waiter.due.IsZero() || s.expectedSlotWait(now, up, waiter) <= table.longestWait(now, waiter)) {
 		table.waiters = append(table.waiters, waiter)
 		reply.status = SlotQueued
 		return reply
 	}
-	reply.retryAfter = s.limitedRetryAfter(now, up, request)
-	return reply
+	return s.deny(now, up, waiter)
 }
 
 // slackWindow is how long late calls may still queue after slots last sufficed for one. About fifty slots of a shard
@@ -142,24 +143,24 @@
 // isUnservable reports whether a call can no longer meet its goal and all slots go to calls that can. A call of an
 // underserved organisation is never unservable.
 func (t *slotTable) isUnservable(now time.Time, w slotWaiter) bool {
-	return !w.isExpected && !t.isUnderserved(now, w.organisation) && w.isLate(now) &&
+	return w.due.IsZero() && !t.mayBeLate(now, w) && w.isLate(now) &&
 		(now.Sub(t.lastSlack) > slackWindow || t.isOverloaded(now))
 }
 
 // expectedWait returns the expected wait of a call behind those ahead of it, at the rate at which slots become free.
 func (t *slotTable) expectedWait(now time.Time, w slotWaiter) time.Duration {
-	perSecond := t.releaseRate.perSecond(now)
+	perSecond := t.rateFor(now, w)
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(t.ahead(now, w)) / perSecond * float64(time.Second))
+	return waitFor(t.ahead(now, w), perSecond)
 }
 
 // ahead returns the number of calls that wait ahead of one that arrives.
 func (t *slotTable) ahead(now time.Time, w slotWaiter) int {
 	ahead := 0
 	for _, other := range t.waiters {
-		if t.compare(now, other, w) <= 0 {
+		if t.isAhead(now, other, w) {
 			ahead++
 		}
 	}
@@ -176,7 +177,7 @@
 		byAge = -byAge
 	}
 	return cmp.Or(
-		cmp.Compare(boolToInt(b.isExpected), boolToInt(a.isExpected)),
+		cmp.Compare(boolToInt(b.isExpected(now)), boolToInt(a.isExpected(now))),
 		cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation))),
 		cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now))),
 		cmp.Compare(a.priority, b.priority),
@@ -221,7 +222,7 @@
 		return isUnservable
 	})
 	for _, w := range denied {
-		s.replySlot(now, up, w, SlotReply{requestID: w.requestID, status: SlotDenied, excess: len(table.waiters)})
+		s.replySlot(now, up, w, s.deny(now, up, w))
 	}
 }
 
