dispatch: Order waiting calls by urgency and length

An underserved organisation went first whatever the urgency of its calls, and a long answer took a slot in which several short ones could be on time.

compare now orders by due reservations, timeliness, urgency, expected slot time in three classes, fair shares and age. Half of the long calls count as medium ones, so that they are served. The expected output is the geometric mean of X-Length-Hint and of what the route has sent, measured from the time after the first event. Where all upstreams name limits, fair shares stay first.

--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -66,6 +66,7 @@
 	upstream     string
 	path         string
 	output       int // tokens, 0 for 100, which take callTime
+	hint         int // the caller's estimate of them
 	isLarge      bool
 	first        *clusterCall // the caller's first try, nil if this is it
 	tries        int          // that followed this first one
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -119,7 +119,7 @@
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
 		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried,
-		content: c.contentHash,
+		content: c.contentHash, outputTokens: s.expectedOutput(c),
 	}
 	if owner != "" {
 		s.emit(RequestSlot{owner, request})
--- a/pkg/dispatch/overload.go
+++ b/pkg/dispatch/overload.go
@@ -17,6 +17,7 @@
 
 // countOffer counts a call that can be on time, when it gets a slot or asks to wait for one.
 func (t *slotTable) countOffer(now time.Time, w slotWaiter) {
+	t.countSlotTime(w.slotTime)
 	if w.onTimeWait > 0 {
 		t.offeredRate.add(now)
 		t.urgentRate(w.priority).add(now)
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -18,6 +18,9 @@
 // lateRefusal refuses calls when they can no longer be on time, not when they arrive, and keeps no reservations without limits.
 type lateRefusal struct{}
 
+// underservedFirst grants slots to underserved organisations first, whatever the urgency and the length of their calls.
+type underservedFirst struct{}
+
 func (arrivalOrder) isPolicy() {}
 
 func (noSlots) isPolicy() {}
@@ -28,6 +31,8 @@
 
 func (lateRefusal) isPolicy() {}
 
+func (underservedFirst) isPolicy() {}
+
 // isByUrgency reports whether urgent calls are served before others.
 func isByUrgency(p policy) bool {
 	switch p.(type) {
@@ -72,3 +77,12 @@
 	}
 	return true
 }
+
+// isByUnderserved reports whether calls of underserved organisations are served before more urgent ones.
+func isByUnderserved(p policy) bool {
+	switch p.(type) {
+	case underservedFirst, lateRefusal, noOverloadLimit, oldestFirst:
+		return true
+	}
+	return false
+}
--- a/pkg/dispatch/scarce_test.go
+++ b/pkg/dispatch/scarce_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -32,6 +33,8 @@
 	otherGoal      = 2 * callGoal
 	lateWorth      = 0.35 // of a late answer, beside one on time
 	impatientTries = 5
+	maxOutput      = 800 // tokens, that callers name
+	hintError      = 0.8 // standard deviation of the logarithm of a caller's estimate divided by the output
 	urgentPath     = "/draft/x"
 	otherPath      = "/bulk/x"
 )
@@ -59,7 +62,7 @@
 		cl.feed(i, NewConfigured(cl.config))
 	}
 	var arrivals []*clusterCall
-	random := rand.New(rand.NewPCG(seed, 5))
+	random, hints := rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
 	cl.onRefused = func(c *clusterCall) { cl.returnLater(c, load.isImpatient, random.IntN(scarceDaemons)) }
 	for _, kind := range []struct {
 		path, organisation string
@@ -83,6 +86,7 @@
 					c.output = 550
 				}
 			}
+			c.hint = max(int(float64(c.output)*math.Exp(hintError*hints.NormFloat64())), 1)
 			c.arrived = epoch.Add(at)
 			arrivals = append(arrivals, c)
 		}
@@ -110,8 +114,8 @@
 		c.contentHash = 1000 + uint64(c.id)
 	}
 	cl.calls = append(cl.calls, c)
-	cl.feed(c.daemon, NewArrived(NewRequest(c.id, fmt.Sprint(c.id), "pond", c.path, c.organisation).WithModel("m", 500, c.output).
-		WithTimeout(c.timeout).WithContentHash(c.contentHash)))
+	cl.feed(c.daemon, NewArrived(NewRequest(c.id, fmt.Sprint(c.id), "pond", c.path, c.organisation).WithModel("m", 500, maxOutput).
+		WithLengthHint(c.hint).WithTimeout(c.timeout).WithContentHash(c.contentHash)))
 }
 
 // returnLater lets the caller of a refused call return at its Retry-After time, or at a third of the time left if that is earlier.
@@ -127,7 +131,7 @@
 	}
 	first.tries++
 	retry := &clusterCall{
-		path: c.path, organisation: c.organisation, daemon: daemon, timeout: left - wait, output: c.output, isLarge: c.isLarge,
+		path: c.path, organisation: c.organisation, daemon: daemon, timeout: left - wait, output: c.output, hint: c.hint, isLarge: c.isLarge,
 		contentHash: c.contentHash, first: first, isPunctual: wait == c.retryAfter,
 	}
 	cl.after(wait, func() { cl.begins(retry) })
@@ -268,8 +272,10 @@
 	for _, load := range scarceLoads {
 		Convey("Calls are refused at once, return when they are told, and earn as much: "+load.name, t, func() {
 			before, now := replayScarce(load.scarceLoad, lateRefusal{}), replayScarce(load.scarceLoad, nil)
-			Printf("\n before: %v\n now: %v\n", before, now)
-			So(now.worth("all"), ShouldBeGreaterThan, before.worth("all")-0.03)
+			unordered := replayScarce(load.scarceLoad, underservedFirst{})
+			Printf("\n before: %v\n underserved organisations first: %v\n now: %v\n", before, unordered, now)
+			So(now.worth("all"), ShouldBeGreaterThan, before.worth("all")-0.01)
+			So(now.worth("all"), ShouldBeGreaterThan, unordered.worth("all")-0.005)
 			So(now.medianRefusal(), ShouldBeLessThan, 50*time.Millisecond)
 			now.shouldServeAll()
 			if load.urgent+load.other+load.flood < 1 {
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -14,6 +14,7 @@
 	timeLeft     time.Duration
 	tried        []string
 	content      uint64
+	outputTokens int
 }
 
 // NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
@@ -47,6 +48,12 @@
 	return r
 }
 
+// WithOutput returns the request with the expected output tokens of the call.
+func (r SlotRequest) WithOutput(tokens int) SlotRequest {
+	r.outputTokens = tokens
+	return r
+}
+
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
@@ -76,3 +83,6 @@
 
 // Content returns the hash of the content of the call, 0 if unknown.
 func (r SlotRequest) Content() uint64 { return r.content }
+
+// OutputTokens returns the expected output tokens of the call, 0 if unknown.
+func (r SlotRequest) OutputTokens() int { return r.outputTokens }
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -31,6 +31,8 @@
 	lastReturn    time.Time     // the latest time of a reservation
 	returns       []reservation // of denied calls, in order
 
+	meanSlotTime time.Duration // of the calls that request slots
+
 	policy    policy
 	lastSlack time.Time // when slots last sufficed for calls that can no longer meet their goal
 }
@@ -59,6 +61,7 @@
 	daemon   string
 	queuedAt time.Time
 	due      time.Time // of the call's reservation, zero for none
+	slotTime time.Duration
 }
 
 func (s *State) slotTable(shard Shard) *slotTable {
@@ -108,7 +111,7 @@
 // decideSlotRequest grants a slot, queues the request or denies it.
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
-	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
+	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now, slotTime: s.slotTime(request)}
 	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: table.queued(now) + 1}
 	if !s.hasReplicas(up, request.shard) {
 		reply.status = SlotNoReplicas
@@ -167,23 +170,23 @@
 	return ahead
 }
 
-// compare orders waiting requests: first those that were told to return now, then those of underserved organisations,
-// those that can still meet their latency goal, those of a more urgent priority, those of organisations with fewer slots
-// granted recently, and the older ones. While the overload of the shard lasts, the younger ones come first: in order of
+// compare orders waiting requests: first those whose reservation is due, then those that can still meet their latency goal, those of a more
+// urgent priority, the shorter ones, those of underserved organisations and of organisations with fewer slots granted recently, and the older
+// ones. While all upstreams name limits, underserved organisations go first, since slots are far apart. While the overload of the shard lasts, the younger ones come first: in order of
 // arrival, all would wait until they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
 	byAge := a.queuedAt.Compare(b.queuedAt)
 	if t.isOverloaded(now) && isYoungestFirst(t.policy) && !t.isLimited {
 		byAge = -byAge
 	}
-	return cmp.Or(
-		cmp.Compare(boolToInt(b.isExpected(now)), boolToInt(a.isExpected(now))),
-		cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation))),
-		cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now))),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(t.grantRate(now, a.organisation), t.grantRate(now, b.organisation)),
-		byAge,
-	)
+	byExpected := cmp.Compare(boolToInt(b.isExpected(now)), boolToInt(a.isExpected(now)))
+	byFairness := cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation)))
+	byLateness := cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now)))
+	byPriority, byGrants := cmp.Compare(a.priority, b.priority), cmp.Compare(t.grantRate(now, a.organisation), t.grantRate(now, b.organisation))
+	if isByUnderserved(t.policy) || t.isLimited {
+		return cmp.Or(byExpected, byFairness, byLateness, byPriority, byGrants, byAge)
+	}
+	return cmp.Or(byExpected, byLateness, byPriority, t.length(a)-t.length(b), byFairness, byGrants, byAge)
 }
 
 func (w slotWaiter) isLate(now time.Time) bool { return now.Sub(w.queuedAt) > w.onTimeWait }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -40,6 +40,7 @@
 	runningByOrganisation map[string]int           // running attempts
 	limits                map[string]upstreamLimit // by the name of the upstream
 	lag                   clock.Lag                // of this daemon
+	meanOutput            map[string]float64       // tokens, by route
 	policy                policy
 	effects               []Effect
 }
@@ -73,6 +74,7 @@
 		shardLoads:            map[Shard]shardLoad{},
 		runningByOrganisation: map[string]int{},
 		limits:                map[string]upstreamLimit{},
+		meanOutput:            map[string]float64{},
 		budgetPeers:           1,
 	}
 }
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -28,7 +28,7 @@
 
 // The lengths of the encoded arrays, and the limit of the array with one element for each replica.
 const (
-	slotRequestFields = 12
+	slotRequestFields = 13
 	slotReplyFields   = 6
 	crashFields       = 2
 	usageFields       = 3
@@ -150,7 +150,7 @@
 	return []any{
 		r.RequestID(), r.Shard().Model(), r.Shard().Number(), r.PromptTokens(), r.Priority(),
 		r.OnTimeWait().Milliseconds(), r.MaxWait().Milliseconds(), r.Organisation(), r.Shard().Service(),
-		r.TimeLeft().Milliseconds(), r.Tried(), r.Content(),
+		r.TimeLeft().Milliseconds(), r.Tried(), r.Content(), r.OutputTokens(),
 	}
 }
 
@@ -248,7 +248,7 @@
 	for range f.length(maxTried) {
 		tried = append(tried, f.text())
 	}
-	return request.WithHistory(timeLeft, tried...).WithContent(f.number())
+	return request.WithHistory(timeLeft, tried...).WithContent(f.number()).WithOutput(int(f.signed()))
 }
 
 // maxTried limits the upstreams that a slot request names, which are as many as a call is sent to.
