dispatch: Correct the first event by what was observed

A call counted as one that can be on time although the first events of its shard came later than the engine's configuration says, so that its slot was spent on a late answer.

The owner of a shard now shortens the time within which a call is on time by the median slowdown that its replicas reported.

--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -182,18 +182,9 @@
 		return c.arrived.Add(time.Duration(maxWaitGoalRatio * float64(c.route.LatencyGoal())))
 	}
 	engine, model := s.engineOf(c)
-	firstEvent := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, engine.Slots()))) +
-		firstEventPrefills*engine.Read(model, c.promptTokens)
-	return c.arrived.Add(c.route.LatencyGoal() - c.usedTime() - firstEvent)
+	return c.arrived.Add(c.route.LatencyGoal() - c.usedTime() - expectedFirstEvent(engine, model, engine.Slots(), c.promptTokens))
 }
 
-// The time to the first event of a call at a full replica is firstEventIntervals event intervals plus firstEventPrefills
-// times the prefill time of the prompt.
-const (
-	firstEventIntervals = 2.5 // half of the current event interval, one for the prefill, one for the first event
-	firstEventPrefills  = 2   // the prompts of this call and of another one
-)
-
 // handleSlotReply sends a call to its granted slot. A queued call stays pending; handleSlotDenied handles any other.
 func (s *State) handleSlotReply(now time.Time, up Upstreams, e SlotReply) {
 	pending := s.pendingSlots[e.requestID]
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -21,6 +21,9 @@
 // underservedFirst grants slots to underserved organisations first, whatever the urgency and the length of their calls.
 type underservedFirst struct{}
 
+// estimatedFirstEvents takes first events to be as late as the engine's configuration says.
+type estimatedFirstEvents struct{}
+
 func (arrivalOrder) isPolicy() {}
 
 func (noSlots) isPolicy() {}
@@ -33,6 +36,8 @@
 
 func (underservedFirst) isPolicy() {}
 
+func (estimatedFirstEvents) isPolicy() {}
+
 // isByUrgency reports whether urgent calls are served before others.
 func isByUrgency(p policy) bool {
 	switch p.(type) {
@@ -86,3 +91,12 @@
 	}
 	return false
 }
+
+// observesFirstEvents reports whether the observed times of first events correct the estimate.
+func observesFirstEvents(p policy) bool {
+	switch p.(type) {
+	case nil:
+		return true
+	}
+	return false
+}
--- a/pkg/dispatch/scarce_test.go
+++ b/pkg/dispatch/scarce_test.go
@@ -17,11 +17,12 @@
 
 // scarceLoad is a load on two kinds of calls of one model, and two organisations, as multiples of what the slots allow.
 type scarceLoad struct {
-	urgent, other float64 // of the kinds
-	share         float64 // of the organisation "two"
-	flood         float64 // of the organisation "one" besides
-	isUneven      bool    // a tenth of the calls are eleven times as long as the others
-	isImpatient   bool    // callers return at once, up to five times
+	urgent, other float64       // of the kinds
+	share         float64       // of the organisation "two"
+	flood         float64       // of the organisation "one" besides
+	isUneven      bool          // a tenth of the calls are eleven times as long as the others
+	isImpatient   bool          // callers return at once, up to five times
+	firstEvent    time.Duration // from the start of a call, 0 for firstEventDelay
 }
 
 // The replay of scarce slots.
@@ -57,6 +58,7 @@
 			WithMaxAttempts(2).WithResumable(true).WithSplit(route.NewWeightedService("engines", 1))
 	}
 	cl.config = cl.config.WithRoutes(kind("draft", callGoal, 0), kind("bulk", otherGoal, 2))
+	cl.firstEventTime = load.firstEvent
 	for i, daemon := range cl.daemons {
 		daemon.policy = p
 		cl.feed(i, NewConfigured(cl.config))
@@ -287,3 +289,15 @@
 		})
 	}
 }
+
+func TestLateFirstEvents(t *testing.T) {
+	for _, load := range scarceLoads {
+		load.firstEvent = 200 * time.Millisecond
+		Convey("The observed times of first events count if they are later than estimated: "+load.name, t, func() {
+			before, now := replayScarce(load.scarceLoad, estimatedFirstEvents{}), replayScarce(load.scarceLoad, nil)
+			Printf("\n before: %v\n now: %v\n", before, now)
+			So(now.worth("all"), ShouldBeGreaterThan, before.worth("all")-0.005)
+			now.shouldServeAll()
+		})
+	}
+}
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -111,6 +111,9 @@
 // decideSlotRequest grants a slot, queues the request or denies it.
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
+	if excess := s.firstEventExcess(now, request); request.onTimeWait > 0 && excess > 0 {
+		request.onTimeWait = max(request.onTimeWait-excess, minOnTimeWait)
+	}
 	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now, slotTime: s.slotTime(request)}
 	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: table.queued(now) + 1}
 	if !s.hasReplicas(up, request.shard) {
