dispatch: Revert the order and refusals of the slot owner

Calls were refused at arrival with a reserved time, and waiting calls ordered by urgency and length. Probably the queue accepts calls for as long as it expects them to be on time by an estimate that is too low on loaded replicas; not traced.

--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -22,7 +22,6 @@
 	model        string
 	promptTokens int
 	outputTokens int // the maximum
-	lengthHint   int // the caller's estimate of the output tokens, 0 for none
 	timeout      time.Duration
 	contentHash  uint64
 	parts        []string
@@ -41,12 +40,6 @@
 	return r
 }
 
-// WithLengthHint returns the request with its caller's estimate of the output tokens, 0 for none.
-func (r Request) WithLengthHint(tokens int) Request {
-	r.lengthHint = tokens
-	return r
-}
-
 // WithTimeout returns the request with the timeout of its caller, 0 if unknown.
 func (r Request) WithTimeout(timeout time.Duration) Request {
 	r.timeout = timeout
@@ -80,9 +73,6 @@
 // Name returns the caller's own id of the request.
 func (r Request) Name() string { return r.name }
 
-// LengthHint returns the caller's estimate of the output tokens, 0 for none.
-func (r Request) LengthHint() int { return r.lengthHint }
-
 // call is a request that has not ended.
 type call struct {
 	Request
@@ -129,7 +119,6 @@
 	stallTimeout time.Duration
 	promptTime   time.Duration // expected, until its prompt and those before it are read
 	isStarted    bool
-	firstEventAt time.Time
 	hasEvent     bool // the first event was received
 	isSuspected  bool // its upstream was reported as suspect, since the stream stalled
 	isCancelled  bool
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -143,7 +143,7 @@
 	upstream  string
 	calls     int
 	excess    int
-	// retryAfter is when a denied call may get a slot, 0 if unknown.
+	// retryAfter is when a denied call may get a slot, 0 if no limit of an upstream is the reason.
 	retryAfter time.Duration
 }
 
@@ -159,13 +159,13 @@
 	return r
 }
 
-// WithRetryAfter returns the reply with when a denied call may get a slot.
+// WithRetryAfter returns the reply with when a call that is denied because of the limits of upstreams may get a slot.
 func (r SlotReply) WithRetryAfter(wait time.Duration) SlotReply {
 	r.retryAfter = wait
 	return r
 }
 
-// RetryAfter returns when a denied call may get a slot, 0 if unknown.
+// RetryAfter returns when a denied call may get a slot, 0 if no limit of an upstream is the reason.
 func (r SlotReply) RetryAfter() time.Duration { return r.retryAfter }
 
 // RequestID returns the id of the slot request, unique within the requesting daemon.
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -117,7 +117,7 @@
 func (s *State) requestSlot(now time.Time, up Upstreams, c *call) {
 	shard, isFound := s.pickShard(now, up, c)
 	maxWait := time.Duration(0)
-	if len(c.deniedShards) >= s.shardTries(c) || !isFound || shard.service != "" {
+	if len(c.deniedShards) >= maxShardTries || !isFound || shard.service != "" {
 		shard, isFound = s.leastLoadedShard(now, up, c)
 		maxWait = max(s.waitDeadline(c).Sub(now), 1)
 	}
@@ -132,7 +132,6 @@
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
 		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried, regions: c.regions,
-		content: c.contentHash, outputTokens: s.expectedOutput(c),
 	}
 	if owner != "" {
 		s.emit(RequestSlot{owner, request})
@@ -199,9 +198,18 @@
 		return c.arrived.Add(time.Duration(maxWaitGoalRatio * float64(c.route.LatencyGoal())))
 	}
 	engine, model := s.engineOf(c)
-	return c.arrived.Add(c.route.LatencyGoal() - c.usedTime() - expectedFirstEvent(engine, model, engine.Slots(), c.promptTokens))
+	firstEvent := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, engine.Slots()))) +
+		firstEventPrefills*engine.Read(model, c.promptTokens)
+	return c.arrived.Add(c.route.LatencyGoal() - firstEvent)
 }
 
+// The time to the first event of a call at a full replica is firstEventIntervals event intervals plus firstEventPrefills
+// times the prefill time of the prompt.
+const (
+	firstEventIntervals = 2.5 // half of the current event interval, one for the prefill, one for the first event
+	firstEventPrefills  = 2   // the prompts of this call and of another one
+)
+
 // handleSlotReply sends a call to its granted slot. A queued call stays pending; handleSlotDenied handles any other.
 func (s *State) handleSlotReply(now time.Time, up Upstreams, e SlotReply) {
 	pending := s.pendingSlots[e.requestID]
@@ -271,10 +279,8 @@
 		s.placeWithoutSlot(now, up, c)
 	case !pending.isLast:
 		s.requestSlot(now, up, c)
-	case e.retryAfter > 0 && s.hasLimited(now, up, c):
-		s.giveUp(now, c, UpstreamLimit, e.retryAfter)
 	case e.retryAfter > 0:
-		s.giveUp(now, c, Overload, e.retryAfter)
+		s.giveUp(now, c, UpstreamLimit, e.retryAfter)
 	default:
 		s.giveUp(now, c, Overload, s.slotRetryAfter(now, c))
 	}
--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // Detection of slow replicas, such as one with a slow member: their calls are late even at low load. Each daemon
@@ -41,58 +39,12 @@
 		return
 	}
 	engine, model := s.engineOf(a.call)
-	expected := roundTripTime + expectedFirstEvent(engine, model, max(a.upstream.running, a.upstream.load.running), a.call.promptTokens)
+	expected := roundTripTime + firstEventPrefills*engine.Read(model, a.call.promptTokens) +
+		time.Duration(firstEventIntervals*float64(engine.EventInterval(model, max(a.upstream.running, a.upstream.load.running))))
 	a.upstream.slowdown = float64(now.Sub(a.sentAt)) / float64(expected)
 	s.unreported[a.target()] = true
 }
 
-// The time to the first event of a call at a full replica is firstEventIntervals event intervals plus firstEventPrefills
-// times the prefill time of the prompt.
-const (
-	firstEventIntervals = 2.5 // half of the current event interval, one for the prefill, one for the first event
-	firstEventPrefills  = 2   // the prompts of this call and of another one
-)
-
-// expectedFirstEvent returns the expected time to the first event of a call at a replica that runs a number of calls.
-func expectedFirstEvent(engine route.Engine, model route.Model, running, promptTokens int) time.Duration {
-	return time.Duration(firstEventIntervals*float64(engine.EventInterval(model, running))) + firstEventPrefills*engine.Read(model, promptTokens)
-}
-
-// minShardSlowdown is the slowdown of a shard from which on its first events count as later than estimated. The expected time varies by as
-// much with the prompts of other calls.
-const minShardSlowdown = 1.2
-
-// firstEventExcess returns how much later than estimated the first event of a call is expected in a shard, from what its replicas were
-// lately observed to take.
-func (s *State) firstEventExcess(now time.Time, r SlotRequest) time.Duration {
-	median := s.slotTable(r.shard).medianSlowdown(now)
-	if !observesFirstEvents(s.policy) || r.shard.service != "" || median < minShardSlowdown {
-		return 0
-	}
-	service, _ := s.config.EngineService()
-	model, _ := service.Engine().Model(r.shard.model)
-	return time.Duration((median - 1) * float64(expectedFirstEvent(service.Engine(), model, service.Engine().Slots(), r.promptTokens)))
-}
-
-// minOnTimeWait is the shortest time for which a first try counts as one that can be on time. Without it, an overload of calls whose first
-// events are expected after their goal would not be seen, and they would wait for long.
-const minOnTimeWait = time.Millisecond
-
-// medianSlowdown returns the median slowdown that was lately reported of the replicas of a shard, 0 if there is none.
-func (t *slotTable) medianSlowdown(now time.Time) float64 {
-	var slowdowns []float64
-	for _, r := range t.replicas {
-		if r.slowdown > 0 && now.Sub(r.slowdownAt) <= slowdownTTL {
-			slowdowns = append(slowdowns, r.slowdown)
-		}
-	}
-	if len(slowdowns) == 0 {
-		return 0
-	}
-	slices.Sort(slowdowns)
-	return slowdowns[(len(slowdowns)-1)/2]
-}
-
 // recordSlowdown adds a reported slowdown to the average of a replica.
 func (r *replicaSlots) recordSlowdown(now time.Time, slowdown float64) {
 	if slowdown <= 0 {
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -294,7 +294,7 @@
 		return max(wait, request.timeLeft)
 	case wait < request.timeLeft:
 		table.limitedReturn = due
-		table.returns = append(table.returns, reservation{request.content, due})
+		table.returns = append(table.returns, due)
 	}
 	return wait
 }
@@ -302,6 +302,18 @@
 // returnSlack is how much later than told a denied call may return.
 const returnSlack = 500 * time.Millisecond
 
+// takeReturn reports whether a call that waits for a slot is one of those that were told to return now.
+func (t *slotTable) takeReturn(now time.Time, request SlotRequest) bool {
+	for len(t.returns) > 0 && now.Sub(t.returns[0]) > returnSlack {
+		t.returns = t.returns[1:]
+	}
+	if request.maxWait == 0 || request.onTimeWait > 0 || len(t.returns) == 0 || now.Before(t.returns[0]) {
+		return false
+	}
+	t.returns = t.returns[1:]
+	return true
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -31,7 +31,7 @@
 	if a == nil {
 		return
 	}
-	a.hasEvent, a.firstEventAt = true, now
+	a.hasEvent = true
 	s.clearPendingPrefill(a)
 	s.countAnswer(now, a.call)
 	s.measureSlowdown(now, a)
@@ -61,7 +61,6 @@
 	}
 	s.removeAttempt(now, a)
 	s.recordSuccess(now, a.call)
-	s.measureOutput(now, a)
 	a.upstream.countTrial()
 	s.finish(now, a.call, NoteAnswered, a.target(), "")
 	s.serveQueue(now, up)
--- a/pkg/dispatch/overload.go
+++ b/pkg/dispatch/overload.go
@@ -17,10 +17,8 @@
 
 // countOffer counts a call that can be on time, when it gets a slot or asks to wait for one.
 func (t *slotTable) countOffer(now time.Time, w slotWaiter) {
-	t.countSlotTime(w.slotTime)
 	if w.onTimeWait > 0 {
 		t.offeredRate.add(now)
-		t.urgentRate(w.priority).add(now)
 	}
 	if !t.offersExceedGrants(now) {
 		t.balancedAt = now
@@ -41,11 +39,7 @@
 // longestWait returns how long a call may be expected to wait for a slot.
 func (t *slotTable) longestWait(now time.Time, w slotWaiter) time.Duration {
 	if t.isOverloaded(now) && !t.isUnderserved(now, w.organisation) {
-		longest := min(w.onTimeWait, w.maxWait)
-		if refusesAtArrival(t.policy) && !t.isLimited {
-			longest = time.Duration(maxQueuedRatio * float64(longest))
-		}
-		return longest
+		return min(w.onTimeWait, w.maxWait)
 	}
 	return w.maxWait
 }
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -18,15 +18,6 @@
 // anyCentre requests slots in all data centres alike.
 type anyCentre struct{}
 
-// lateRefusal refuses calls when they can no longer be on time, not when they arrive, and keeps no reservations without limits.
-type lateRefusal struct{}
-
-// underservedFirst grants slots to underserved organisations first, whatever the urgency and the length of their calls.
-type underservedFirst struct{}
-
-// estimatedFirstEvents takes first events to be as late as the engine's configuration says.
-type estimatedFirstEvents struct{}
-
 func (arrivalOrder) isPolicy() {}
 
 func (anyCentre) isPolicy() {}
@@ -37,12 +28,6 @@
 
 func (oldestFirst) isPolicy() {}
 
-func (lateRefusal) isPolicy() {}
-
-func (underservedFirst) isPolicy() {}
-
-func (estimatedFirstEvents) isPolicy() {}
-
 // isByUrgency reports whether urgent calls are served before others.
 func isByUrgency(p policy) bool {
 	switch p.(type) {
@@ -87,30 +72,3 @@
 	}
 	return true
 }
-
-// refusesAtArrival reports whether calls for which no slot is expected in time are refused when they arrive.
-func refusesAtArrival(p policy) bool {
-	switch p.(type) {
-	case lateRefusal, noOverloadLimit, oldestFirst:
-		return false
-	}
-	return true
-}
-
-// isByUnderserved reports whether calls of underserved organisations are served before more urgent ones.
-func isByUnderserved(p policy) bool {
-	switch p.(type) {
-	case underservedFirst, lateRefusal, noOverloadLimit, oldestFirst:
-		return true
-	}
-	return false
-}
-
-// observesFirstEvents reports whether the observed times of first events correct the estimate.
-func observesFirstEvents(p policy) bool {
-	switch p.(type) {
-	case nil:
-		return true
-	}
-	return false
-}
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -70,7 +70,7 @@
 	return SlotReply{
 		requestID: w.requestID, status: SlotGranted,
 		upstream: target.name, calls: replica.calls(),
-		excess: table.queued(now) - s.freeSlots(now, up, w.shard),
+		excess: len(table.waiters) - s.freeSlots(now, up, w.shard),
 	}
 }
 
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -18,8 +18,6 @@
 	timeLeft     time.Duration
 	tried        []string
 	regions      route.Regions
-	content      uint64
-	outputTokens int
 }
 
 // NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
@@ -62,18 +60,6 @@
 	return r
 }
 
-// WithContent returns the request with a hash of the content of the call, which identifies its caller's retries.
-func (r SlotRequest) WithContent(hash uint64) SlotRequest {
-	r.content = hash
-	return r
-}
-
-// WithOutput returns the request with the expected output tokens of the call.
-func (r SlotRequest) WithOutput(tokens int) SlotRequest {
-	r.outputTokens = tokens
-	return r
-}
-
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
@@ -100,9 +86,3 @@
 
 // Tried returns the upstreams to which the call was sent before.
 func (r SlotRequest) Tried() []string { return r.tried }
-
-// Content returns the hash of the content of the call, 0 if unknown.
-func (r SlotRequest) Content() uint64 { return r.content }
-
-// OutputTokens returns the expected output tokens of the call, 0 if unknown.
-func (r SlotRequest) OutputTokens() int { return r.outputTokens }
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -23,16 +23,12 @@
 	grantedRate rate             // of slots granted
 	balancedAt  time.Time        // when the granted slots last sufficed for the offered calls
 	offeredRate rate             // of calls that could meet their goal when they requested a slot
-	urgentRates map[int]*rate    // of these, by priority
 
-	isLimited     bool          // all upstreams of the shard name limits or are cold
-	hasLimits     bool          // one of them does
-	hasCold       bool          // one of them is cold
-	limitedReturn time.Time     // the latest time at which a denied call was told to return
-	lastReturn    time.Time     // the latest time of a reservation
-	returns       []reservation // of denied calls, in order
-
-	meanSlotTime time.Duration // of the calls that request slots
+	isLimited     bool        // all upstreams of the shard name limits or are cold
+	hasLimits     bool        // one of them does
+	hasCold       bool        // one of them is cold
+	limitedReturn time.Time   // the latest time at which a denied call was told to return
+	returns       []time.Time // the times at which denied calls were told to return, in order
 
 	policy    policy
 	lastSlack time.Time // when slots last sufficed for calls that can no longer meet their goal
@@ -59,16 +55,15 @@
 // slotWaiter is a slot request that waits, with the daemon that sent it.
 type slotWaiter struct {
 	SlotRequest
-	daemon   string
-	queuedAt time.Time
-	due      time.Time // of the call's reservation, zero for none
-	slotTime time.Duration
+	daemon     string
+	queuedAt   time.Time
+	isExpected bool // the call was denied before and told to return now
 }
 
 func (s *State) slotTable(shard Shard) *slotTable {
 	t := s.slotTables[shard]
 	if t == nil {
-		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, urgentRates: map[int]*rate{}, policy: s.policy}
+		t = &slotTable{replicas: map[string]*replicaSlots{}, grantRates: map[string]*rate{}, policy: s.policy}
 		s.slotTables[shard] = t
 	}
 	return t
@@ -112,17 +107,14 @@
 // decideSlotRequest grants a slot, queues the request or denies it.
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
-	if excess := s.firstEventExcess(now, request); request.onTimeWait > 0 && excess > 0 {
-		request.onTimeWait = max(request.onTimeWait-excess, minOnTimeWait)
-	}
-	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now, slotTime: s.slotTime(request)}
-	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: table.queued(now) + 1}
+	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
+	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: len(table.waiters) + 1}
 	if !s.hasReplicas(up, request) {
 		reply.status = SlotNoReplicas
 		return reply
 	}
 	s.refreshLimits(now, up, request.shard)
-	table.takeReservation(now, &waiter)
+	waiter.isExpected = table.takeReturn(now, request)
 	if !slices.ContainsFunc(table.waiters, slotWaiter.isUnrestricted) {
 		table.lastSlack = now
 		if target, isFree := s.bestReplica(now, up, request); isFree {
@@ -130,17 +122,18 @@
 			return s.grantSlot(now, up, table, waiter, target)
 		}
 	}
-	if waiter.maxWait == 0 {
+	if request.maxWait == 0 {
 		return reply
 	}
 	table.countOffer(now, waiter)
 	if len(table.waiters) < maxSlotWaiters && !table.isUnservable(now, waiter) &&
-		(!waiter.due.IsZero() || s.expectedSlotWait(now, up, waiter) <= table.longestWait(now, waiter)) {
+		s.expectedSlotWait(now, up, waiter) <= table.longestWait(now, waiter) {
 		table.waiters = append(table.waiters, waiter)
 		reply.status = SlotQueued
 		return reply
 	}
-	return s.deny(now, up, waiter)
+	reply.retryAfter = s.limitedRetryAfter(now, up, request)
+	return reply
 }
 
 // slackWindow is how long late calls may still queue after slots last sufficed for one. About fifty slots of a shard
@@ -150,47 +143,47 @@
 // isUnservable reports whether a call can no longer meet its goal and all slots go to calls that can. A call of an
 // underserved organisation is never unservable.
 func (t *slotTable) isUnservable(now time.Time, w slotWaiter) bool {
-	return w.due.IsZero() && !t.mayBeLate(now, w) && w.isLate(now) &&
+	return !w.isExpected && !t.isUnderserved(now, w.organisation) && w.isLate(now) &&
 		(now.Sub(t.lastSlack) > slackWindow || t.isOverloaded(now))
 }
 
 // expectedWait returns the expected wait of a call behind those ahead of it, at the rate at which slots become free.
 func (t *slotTable) expectedWait(now time.Time, w slotWaiter) time.Duration {
-	perSecond := t.rateFor(now, w)
+	perSecond := t.releaseRate.perSecond(now)
 	if perSecond <= 0 {
 		return 0
 	}
-	return waitFor(t.ahead(now, w), perSecond)
+	return time.Duration(float64(t.ahead(now, w)) / perSecond * float64(time.Second))
 }
 
 // ahead returns the number of calls that wait ahead of one that arrives.
 func (t *slotTable) ahead(now time.Time, w slotWaiter) int {
 	ahead := 0
 	for _, other := range t.waiters {
-		if t.isAhead(now, other, w) {
+		if t.compare(now, other, w) <= 0 {
 			ahead++
 		}
 	}
 	return ahead
 }
 
-// compare orders waiting requests: first those whose reservation is due, then those that can still meet their latency goal, those of a more
-// urgent priority, the shorter ones, those of underserved organisations and of organisations with fewer slots granted recently, and the older
-// ones. While all upstreams name limits, underserved organisations go first, since slots are far apart. While the overload of the shard lasts, the younger ones come first: in order of
+// compare orders waiting requests: first those that were told to return now, then those of underserved organisations,
+// those that can still meet their latency goal, those of a more urgent priority, those of organisations with fewer slots
+// granted recently, and the older ones. While the overload of the shard lasts, the younger ones come first: in order of
 // arrival, all would wait until they can just no longer meet their goal.
 func (t *slotTable) compare(now time.Time, a, b slotWaiter) int {
 	byAge := a.queuedAt.Compare(b.queuedAt)
 	if t.isOverloaded(now) && isYoungestFirst(t.policy) && !t.isLimited {
 		byAge = -byAge
 	}
-	byExpected := cmp.Compare(boolToInt(b.isExpected(now)), boolToInt(a.isExpected(now)))
-	byFairness := cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation)))
-	byLateness := cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now)))
-	byPriority, byGrants := cmp.Compare(a.priority, b.priority), cmp.Compare(t.grantRate(now, a.organisation), t.grantRate(now, b.organisation))
-	if isByUnderserved(t.policy) || t.isLimited {
-		return cmp.Or(byExpected, byFairness, byLateness, byPriority, byGrants, byAge)
-	}
-	return cmp.Or(byExpected, byLateness, byPriority, t.length(a)-t.length(b), byFairness, byGrants, byAge)
+	return cmp.Or(
+		cmp.Compare(boolToInt(b.isExpected), boolToInt(a.isExpected)),
+		cmp.Compare(boolToInt(t.isUnderserved(now, b.organisation)), boolToInt(t.isUnderserved(now, a.organisation))),
+		cmp.Compare(boolToInt(a.isLate(now)), boolToInt(b.isLate(now))),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(t.grantRate(now, a.organisation), t.grantRate(now, b.organisation)),
+		byAge,
+	)
 }
 
 func (w slotWaiter) isLate(now time.Time) bool { return now.Sub(w.queuedAt) > w.onTimeWait }
@@ -240,7 +233,7 @@
 		return isUnservable
 	})
 	for _, w := range denied {
-		s.replySlot(now, up, w, s.deny(now, up, w))
+		s.replySlot(now, up, w, SlotReply{requestID: w.requestID, status: SlotDenied, excess: len(table.waiters)})
 	}
 }
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -44,7 +44,6 @@
 	ownedSince            map[Shard]time.Time      // those that this daemon owns
 	tickedAt              time.Time                // the last tick
 	staleUntil            time.Time                // until when granted slots of cold upstreams may be from before a pause of this daemon
-	meanOutput            map[string]float64       // tokens, by route
 	policy                policy
 	effects               []Effect
 }
@@ -82,7 +81,6 @@
 		runningByOrganisation: map[string]int{},
 		limits:                map[string]upstreamLimit{},
 		ownedSince:            map[Shard]time.Time{},
-		meanOutput:            map[string]float64{},
 		budgetPeers:           1,
 	}
 }
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -29,7 +29,7 @@
 
 // The lengths of the encoded arrays, and the limit of the array with one element for each replica.
 const (
-	slotRequestFields = 15
+	slotRequestFields = 13
 	slotReplyFields   = 6
 	crashFields       = 2
 	usageFields       = 3
@@ -165,7 +165,6 @@
 		r.RequestID(), r.Shard().Model(), r.Shard().Number(), r.PromptTokens(), r.Priority(),
 		r.OnTimeWait().Milliseconds(), r.MaxWait().Milliseconds(), r.Organisation(), r.Shard().Service(),
 		r.TimeLeft().Milliseconds(), r.Tried(), r.Regions().Names(), r.Shard().Centre(),
-		r.Content(), r.OutputTokens(),
 	}
 }
 
@@ -271,7 +270,7 @@
 	if centre := f.text(); centre != "" {
 		request = request.WithShard(dispatch.NewCentreShard(model, centre))
 	}
-	return request.WithContent(f.number()).WithOutput(int(f.signed()))
+	return request
 }
 
 // maxRegions limits the regions that a slot request names.
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -57,10 +57,6 @@
 	baseStepTime       time.Duration
 	stepTimePerCall    time.Duration
 	prefillRate        float64
-	timePerPair        float64 // nanoseconds per pair of a prompt token and an earlier one
-	stepTimePerToken   float64 // nanoseconds that each token of context of a running call adds to a step
-	usualPrompt        int
-	usualAnswer        int
 	maxLoadRate        float64
 	maxConcurrentLoads int
 	stagedPerHost      int
@@ -83,25 +79,6 @@
 	return e
 }
 
-// WithContextTimes returns the engine with the time that a million pairs of a prompt token and an earlier one add to the prefill, and the time
-// that a thousand tokens of context add to a step for each running call.
-func (e Engine) WithContextTimes(perMillionPairs, perThousandTokens time.Duration) Engine {
-	e.timePerPair, e.stepTimePerToken = float64(perMillionPairs)/1e6, float64(perThousandTokens)/1e3
-	return e
-}
-
-// WithUsualCall returns the engine with the mean prompt tokens and output tokens of a call.
-func (e Engine) WithUsualCall(prompt, answer int) Engine {
-	e.usualPrompt, e.usualAnswer = prompt, answer
-	return e
-}
-
-// UsualCall returns the mean prompt tokens and output tokens of a call, 0 if unknown.
-func (e Engine) UsualCall() (prompt, answer int) { return e.usualPrompt, e.usualAnswer }
-
-// usualContext returns the mean context of a running call, which has half of its answer.
-func (e Engine) usualContext() float64 { return float64(e.usualPrompt) + float64(e.usualAnswer)/2 }
-
 // WithLoadLimits returns the engine with the limit on loads from the weight store started per second, the number of
 // concurrent loads that do not slow each other down, the models staged per host, and the time in which an opened replica
 // begins to serve.
@@ -160,17 +137,6 @@
 	return time.Duration(float64(tokens) / e.prefillRate * m.timeFactor * float64(time.Second))
 }
 
-// PrefillTime returns the prefill time of a prompt at a replica of model m, with that of its pairs of tokens.
-func (e Engine) PrefillTime(m Model, tokens int) time.Duration {
-	pairs := float64(tokens) * float64(tokens) / 2
-	return e.Read(m, tokens) + time.Duration(pairs*e.timePerPair*m.timeFactor)
-}
-
-// ContextStepTime returns the time of one decode step at a replica of model m that runs this number of usual calls, with that of their context.
-func (e Engine) ContextStepTime(m Model, running int) time.Duration {
-	return e.StepTime(m, running) + time.Duration(float64(running)*e.usualContext()*e.stepTimePerToken*m.timeFactor)
-}
-
 // EventInterval returns the time between two events of a call at a replica of model m that runs this number of calls,
 // without prefill.
 func (e Engine) EventInterval(m Model, running int) time.Duration {
