dispatch: Prefer local slots within shards of all data centres

Shards are divided by the hash of the head again. A call asks a shard with a replica in its data centre first, and the owner grants a slot there while 0.4 of the slots of the replica are free.

--- a/internal/gateway/trace_test.go
+++ b/internal/gateway/trace_test.go
@@ -24,6 +24,7 @@
 
 func (f fakeTargets) Replicas(string) []dispatch.Target             { return f.all }
 func (f fakeTargets) Processes(string) []dispatch.Target            { return f.all }
+func (fakeTargets) Centre() string                                  { return "" }
 func (f fakeTargets) NextOpening(now time.Time, _ string) time.Time { return now }
 func (f fakeTargets) Owner(dispatch.Shard) string                   { return "" }
 
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -149,9 +149,6 @@
 
 func (v daemonView) Owner(shard Shard) string {
 	owner := int(shard.Number()) % len(v.daemons)
-	if shard.Centre() != "" {
-		owner = slices.IndexFunc(v.daemons, func(d *State) bool { return v.centreOf(slices.Index(v.daemons, d)) == shard.Centre() })
-	}
 	if v.shardOwner != nil {
 		owner = v.shardOwner(v.self)
 	}
--- a/pkg/dispatch/cold.go
+++ b/pkg/dispatch/cold.go
@@ -56,14 +56,9 @@
 	return 0
 }
 
-// selectColdShards determines the shards of the services whose upstreams may be cold. It keeps those of data centres, which
-// addCentreShards adds.
+// selectColdShards determines the shards of the services whose upstreams may be cold.
 func (s *State) selectColdShards() {
-	engines, _ := s.config.EngineService()
-	s.coldShards = slices.DeleteFunc(s.coldShards, func(shard Shard) bool {
-		_, isKnown := engines.Engine().Model(shard.model)
-		return shard.centre == "" || !isKnown || engines.ColdRate() == 0
-	})
+	s.coldShards = nil
 	services := s.config.Services()
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		models := services[name].Engine().Models()
@@ -89,7 +84,6 @@
 		s.resume(now)
 	}
 	s.tickedAt = now
-	s.addCentreShards(up)
 	for _, shard := range s.coldShards {
 		if up.Owner(shard) != "" {
 			delete(s.ownedSince, shard)
@@ -102,22 +96,6 @@
 	}
 }
 
-// addCentreShards adds the shards of the data centres in which replicas are listed. They stay while none is listed there, so that a data
-// centre that returns has no new owner.
-func (s *State) addCentreShards(up Upstreams) {
-	service, _ := s.config.EngineService()
-	if service.ColdRate() == 0 {
-		return
-	}
-	for _, model := range service.Engine().Models() {
-		for _, t := range up.Replicas(model.Name()) {
-			if shard := shardOf(model.Name(), t.name, t.centre); !slices.Contains(s.coldShards, shard) {
-				s.coldShards = append(s.coldShards, shard)
-			}
-		}
-	}
-}
-
 // isPaused reports whether this daemon has not run for a while, and has handled no tick since.
 func (s *State) isPaused(now time.Time) bool { return now.Sub(s.tickedAt) > maxTickGap }
 
--- a/pkg/dispatch/golden_test.go
+++ b/pkg/dispatch/golden_test.go
@@ -44,6 +44,9 @@
 	owner   string
 }
 
+// Centre returns no data centre, as in a deployment with one.
+func (*player) Centre() string { return "" }
+
 func (p *player) Replicas(string) []Target                      { return p.targets }
 func (p *player) Processes(string) []Target                     { return p.targets }
 func (p *player) NextOpening(now time.Time, _ string) time.Time { return now }
@@ -124,7 +127,7 @@
 			panic(err)
 		}
 		return NewSlotRequested(words[1],
-			NewSlotRequest(number(2), shardOf("m", p.targets[0].name, ""), 500).WithUrgency(0, maxWait/4, maxWait))
+			NewSlotRequest(number(2), shardOf("m", p.targets[0].name), 500).WithUrgency(0, maxWait/4, maxWait))
 	case "usage-reported":
 		return NewUsageReported(words[1], map[string]ReplicaUsage{words[2]: NewReplicaUsage(int(number(3)), 0)})
 	case "stopping":
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -32,21 +32,14 @@
 type Shard struct {
 	service string // empty for replicas
 	model   string
-	centre  string // empty if the replicas of a shard are in any data centre
 	number  uint64
 }
 
-// shardOf returns the shard of a replica, by its data centre if that is given and by its head otherwise.
-func shardOf(model, head, centre string) Shard {
-	if centre != "" {
-		return NewCentreShard(model, centre)
-	}
+// shardOf returns the shard of a replica, by its head.
+func shardOf(model, head string) Shard {
 	return NewShard(model, xxhash.Sum64String(head))
 }
 
-// NewCentreShard returns the shard of the replicas of model in a data centre.
-func NewCentreShard(model, centre string) Shard { return Shard{model: model, centre: centre} }
-
 // NewShard returns a shard of the replicas of model.
 func NewShard(model string, number uint64) Shard {
 	return Shard{model: model, number: number % shardsPerModel}
@@ -61,19 +54,13 @@
 // Model returns the model of the replicas.
 func (s Shard) Model() string { return s.model }
 
-// Centre returns the data centre of the replicas, empty if they may be in any.
-func (s Shard) Centre() string { return s.centre }
-
 // Number returns the number of the shard within its model.
 func (s Shard) Number() uint64 { return s.number }
 
-// String returns the shard as model/number, as model/centre, or as the name of its service.
+// String returns the shard as model/number, or as the name of its service.
 func (s Shard) String() string {
-	switch {
-	case s.service != "":
+	if s.service != "" {
 		return s.service
-	case s.centre != "":
-		return s.model + "/" + s.centre
 	}
 	return s.model + "/" + strconv.FormatUint(s.number, 10)
 }
@@ -104,10 +91,10 @@
 	return requestsSlots(s.policy) && (c.sends == 0 && s.isModelCall(c) || s.hasLimited(now, up, c))
 }
 
-// shardFor returns the shard of an upstream in a data centre for a call.
-func (s *State) shardFor(c *call, name, centre string) Shard {
+// shardFor returns the shard of an upstream of a call.
+func (s *State) shardFor(c *call, name string) Shard {
 	if s.isModelCall(c) {
-		return shardOf(c.model, name, centre)
+		return shardOf(c.model, name)
 	}
 	return NewServiceShard(c.service)
 }
@@ -131,7 +118,7 @@
 	request := SlotRequest{
 		requestID: s.lastSlotRequest, shard: shard, promptTokens: c.promptTokens, priority: c.priority,
 		onTimeWait: max(s.onTimeUntil(c).Sub(now), 0), maxWait: maxWait,
-		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried, regions: c.regions,
+		organisation: c.organisation, timeLeft: c.deadline.Sub(now), tried: c.tried, regions: c.regions, centre: up.Centre(),
 	}
 	if owner != "" {
 		s.emit(RequestSlot{owner, request})
@@ -140,21 +127,28 @@
 	s.handleSlotReply(now, up, s.decideSlotRequest(now, up, "", request))
 }
 
-// pickShard returns the shard of this data centre while it has room, and the less loaded of the shards of two random replicas
-// otherwise.
+// pickShard returns the less loaded of the shards of two random replicas, or that of a random replica in this data centre unless all slots of
+// that shard are known to be taken.
 func (s *State) pickShard(now time.Time, up Upstreams, c *call) (Shard, bool) {
-	if shard, hasRoom := s.localShard(now, up, c); hasRoom {
-		return shard, true
-	}
-	var shards []Shard
+	var shards, local []Shard
 	for _, t := range s.targets(up, c) {
-		if shard := s.shardFor(c, t.name, t.centre); !slices.Contains(c.deniedShards, shard) && !slices.Contains(c.tried, t.name) {
-			shards = append(shards, shard)
+		shard := s.shardFor(c, t.name)
+		if slices.Contains(c.deniedShards, shard) || slices.Contains(c.tried, t.name) {
+			continue
+		}
+		shards = append(shards, shard)
+		if prefersLocal(s.policy) && t.isLocal && t.centre != "" {
+			local = append(local, shard)
 		}
 	}
 	if len(shards) == 0 {
 		return Shard{}, false
 	}
+	if len(local) > 0 {
+		if shard := local[s.random.IntN(len(local))]; s.mayHaveRoom(now, shard) {
+			return shard, true
+		}
+	}
 	a, b := shards[s.random.IntN(len(shards))], shards[s.random.IntN(len(shards))]
 	if s.excess(now, b) < s.excess(now, a) {
 		a = b
@@ -167,7 +161,7 @@
 	replicas := map[Shard]int{}
 	for _, t := range s.targets(up, c) {
 		if !slices.Contains(c.tried, t.name) {
-			replicas[s.shardFor(c, t.name, t.centre)]++
+			replicas[s.shardFor(c, t.name)]++
 		}
 	}
 	var best Shard
@@ -334,7 +328,7 @@
 func (s *State) markUnreported(a *attempt, name string) {
 	if s.isModelCall(a.call) || a.hasSlot {
 		s.unreported[name] = true
-		s.upstream(name).shard = s.shardFor(a.call, name, a.upstream.centre)
+		s.upstream(name).shard = s.shardFor(a.call, name)
 	}
 }
 
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -50,7 +50,7 @@
 		return
 	}
 	s.setLimit(now, a.target(), l.perSecond, answerSource)
-	shard := s.shardFor(a.call, a.target(), a.upstream.centre)
+	shard := s.shardFor(a.call, a.target())
 	s.startLimit(now, up, shard)
 	s.publishLimit(now, up.Owner(shard), a.target(), l.perSecond, known)
 }
--- a/pkg/dispatch/local.go
+++ b/pkg/dispatch/local.go
@@ -1,35 +1,23 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Traffic between data centres is billed, and it adds a round trip to each request. In a deployment with several data centres, a call
-// gets a slot in the one of its daemon while there is room, and the least loaded one otherwise.
+// gets a slot of a replica in the data centre of its daemon while that replica has room, and the best slot of the shard otherwise. A shard
+// has replicas of all data centres, so that waiting calls get the slots of any of them when a data centre has lost its own.
 
-// minLocalRoom is the share of the slots of a data centre that must be free for its own calls to prefer it. A replica that runs more calls takes
-// longer until the first event, which a model with few replicas in a data centre can least afford.
+// minLocalRoom is the share of a replica's slots that must be free for calls of its data centre to prefer it. A replica that runs more calls
+// takes longer until the first event.
 const minLocalRoom = 0.4
 
-// localShard returns the shard of the replicas in the data centre of this daemon, and whether it has room for a call.
-func (s *State) localShard(now time.Time, up Upstreams, c *call) (Shard, bool) {
-	if !s.isModelCall(c) || !prefersLocal(s.policy) {
-		return Shard{}, false
-	}
-	slots, shard := 0, Shard{}
-	for _, t := range s.targets(up, c) {
-		if t.isLocal && t.centre != "" && !slices.Contains(c.tried, t.name) {
-			slots += t.slots
-			shard = s.shardFor(c, t.name, t.centre)
-		}
-	}
-	if slots == 0 || slices.Contains(c.deniedShards, shard) {
-		return Shard{}, false
-	}
-	load, isKnown := s.shardLoads[shard]
-	if !isKnown || now.Sub(load.receivedAt) > maxShardLoadAge {
-		return shard, true
-	}
-	return shard, float64(-load.excess) >= minLocalRoom*float64(slots)
+// hasLocalRoom reports whether a replica is in the data centre of the daemon that requests a slot, and has room.
+func (s *State) hasLocalRoom(request SlotRequest, t Target, replica *replicaSlots) bool {
+	return prefersLocal(s.policy) && request.centre != "" && t.centre == request.centre &&
+		float64(t.slots-replica.calls()) >= minLocalRoom*float64(t.slots)
+}
+
+// mayHaveRoom reports whether no recent reply says that all slots of a shard are taken.
+func (s *State) mayHaveRoom(now time.Time, shard Shard) bool {
+	load := s.shardLoads[shard]
+	return now.Sub(load.receivedAt) > maxShardLoadAge || load.excess < 0
 }
--- a/pkg/dispatch/local_test.go
+++ b/pkg/dispatch/local_test.go
@@ -12,6 +12,14 @@
 // centreOf returns the data centre of a daemon or replica by its index.
 func (cl *cluster) centreOf(index int) string { return "dc" + strconv.Itoa(index%cl.centres) }
 
+// Centre returns the data centre of the daemon, empty without data centres.
+func (v daemonView) Centre() string {
+	if v.centres == 0 {
+		return ""
+	}
+	return v.centreOf(v.self)
+}
+
 // targetsByCentre returns the replicas with their data centres, as a daemon sees them.
 func (v daemonView) targetsByCentre() []Target {
 	targets := slices.Clone(v.targets)
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -166,7 +166,6 @@
 	}
 	c.hasSlot = false
 	s.attempts[a.id] = a
-	best.upstream.centre = best.target.centre
 	best.upstream.begin(now, c.promptTokens)
 	s.markUnreported(a, best.target.name)
 	s.runningByOrganisation[c.organisation]++
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -88,6 +88,9 @@
 // Processes returns the same upstreams for a plain service.
 func (sim *simulation) Processes(string) []Target { return sim.targets }
 
+// Centre returns no data centre, as in a deployment with one.
+func (*simulation) Centre() string { return "" }
+
 // NextOpening returns when a replica opens.
 func (sim *simulation) NextOpening(now time.Time, _ string) time.Time {
 	if sim.opensAt.After(now) {
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -7,13 +7,14 @@
 
 // The choice of the upstream of a shard that gets the next call.
 
-// bestReplica returns the replica of a shard with a free slot, within its limit, and the shortest expected time to the first event. In the
+// bestReplica returns the replica of a shard with a free slot, within its limit, and the shortest expected time to the first event, in
+// the data centre of the daemon that requests the slot if one has room there. In the
 // shard of a plain service it returns the process with the fewest calls.
 func (s *State) bestReplica(now time.Time, up Upstreams, request SlotRequest) (Target, bool) {
 	table := s.slotTable(request.shard)
 	var best Target
 	var least time.Duration
-	isFound := false
+	isFound, isLocal := false, false
 	for _, t := range within(up, s.members(up, request.shard), request.regions) {
 		replica := table.replica(t.name)
 		replica.dropExpired(now)
@@ -21,8 +22,9 @@
 			replica.calls() >= table.capacity(now, replica, t, request.shard) || !replica.isAllowed() {
 			continue
 		}
-		if cost := s.slotCost(now, table, request, t); !isFound || cost < least {
-			best, least, isFound = t, cost, true
+		cost, hasRoom := s.slotCost(now, table, request, t), s.hasLocalRoom(request, t, replica)
+		if !isFound || hasRoom && !isLocal || hasRoom == isLocal && cost < least {
+			best, least, isFound, isLocal = t, cost, true, hasRoom
 		}
 	}
 	return best, isFound
@@ -35,7 +37,7 @@
 	}
 	var members []Target
 	for _, t := range up.Replicas(shard.model) {
-		if shardOf(shard.model, t.name, t.centre) == shard {
+		if shardOf(shard.model, t.name) == shard {
 			members = append(members, t)
 		}
 	}
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -18,6 +18,7 @@
 	timeLeft     time.Duration
 	tried        []string
 	regions      route.Regions
+	centre       string // of the daemon that requests the slot
 }
 
 // NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
@@ -54,12 +55,15 @@
 // Regions returns the regions whose upstreams the call may reach.
 func (r SlotRequest) Regions() route.Regions { return r.regions }
 
-// WithShard returns the request for a slot of another shard.
-func (r SlotRequest) WithShard(shard Shard) SlotRequest {
-	r.shard = shard
+// WithCentre returns the request with the data centre of the daemon that sends it, empty in a deployment with one.
+func (r SlotRequest) WithCentre(name string) SlotRequest {
+	r.centre = name
 	return r
 }
 
+// Centre returns the data centre of the daemon that sends the request, empty in a deployment with one.
+func (r SlotRequest) Centre() string { return r.centre }
+
 // RequestID returns the id of the request, unique within the requesting daemon.
 func (r SlotRequest) RequestID() uint64 { return r.requestID }
 
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -285,7 +285,7 @@
 	for _, m := range service.Engine().Models() {
 		for _, t := range up.Replicas(m.Name()) {
 			if t.name == head {
-				return shardOf(m.Name(), head, t.centre), true
+				return shardOf(m.Name(), head), true
 			}
 		}
 	}
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -49,7 +49,7 @@
 	return Target{name: name, address: address, isLocal: isLocal, slots: slots, slowdown: 1}
 }
 
-// WithCentre returns the target with its data centre, in a deployment with several. The replicas of a data centre form a shard then.
+// WithCentre returns the target with its data centre, in a deployment with several.
 func (t Target) WithCentre(name string) Target {
 	t.centre = name
 	return t
@@ -72,6 +72,8 @@
 	NextOpening(now time.Time, model string) time.Time
 	// Processes returns the upstreams of a plain service.
 	Processes(service string) []Target
+	// Centre returns the data centre of this daemon in a deployment with several, empty in any other.
+	Centre() string
 	// Owner returns the daemon that grants the slots of a shard, empty for this one.
 	Owner(shard Shard) string
 	// Way returns the ways to an upstream, through peers in some regions.
@@ -90,7 +92,6 @@
 // upstream is the local state of one upstream.
 type upstream struct {
 	running              int
-	centre               string    // of the last request sent there
 	shard                Shard     // whose owner gets usage reports, zero for none
 	reportedTo           string    // the shard owner that got the last usage report
 	pendingPrefillTokens int       // prompt tokens sent, without a first event yet
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -41,7 +41,7 @@
 func (s *State) Owner(shard dispatch.Shard) string {
 	owner, isKnown := s.ownerByShard[shard]
 	if !isKnown {
-		owner = pickOwner(shard.String(), s.ownersOf(shard))
+		owner = s.ownerOf(shard.String())
 		s.ownerByShard[shard] = owner
 	}
 	if owner == s.members.self {
@@ -50,21 +50,10 @@
 	return owner
 }
 
-// ownersOf returns the daemons of which one owns a shard: those in the data centre of its replicas, if there are any.
-func (s *State) ownersOf(shard dispatch.Shard) []string {
-	near := slices.DeleteFunc(slices.Clone(s.shardOwners), func(name string) bool { return s.ownerCentres[name] != shard.Centre() })
-	if len(near) == 0 {
-		return s.shardOwners
-	}
-	return near
-}
-
 // ownerOf returns the daemon that owns a key.
-func (s *State) ownerOf(key string) string { return pickOwner(key, s.shardOwners) }
-
-func pickOwner(key string, owners []string) string {
+func (s *State) ownerOf(key string) string {
 	hash := func(name string) uint64 { return xxhash.Sum64String(key + " " + name) }
-	return slices.MaxFunc(owners, func(a, b string) int {
+	return slices.MaxFunc(s.shardOwners, func(a, b string) int {
 		return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
 	})
 }
@@ -107,13 +96,11 @@
 // chooseShardOwners selects the first of the eligible daemons, which are ordered by rank, or this one if there are none.
 func (s *State) chooseShardOwners(eligible []peer.Member) {
 	var owners []string
-	s.ownerCentres = map[string]string{}
 	for i, member := range eligible[:min(maxShardOwners, len(eligible))] {
 		if i >= minShardOwners && member.Capacity() < eligible[0].Capacity() {
 			break
 		}
 		owners = append(owners, member.Name())
-		s.ownerCentres[member.Name()] = member.Centre()
 	}
 	if len(owners) == 0 {
 		owners = []string{s.members.self}
@@ -164,7 +151,7 @@
 	return []any{
 		r.RequestID(), r.Shard().Model(), r.Shard().Number(), r.PromptTokens(), r.Priority(),
 		r.OnTimeWait().Milliseconds(), r.MaxWait().Milliseconds(), r.Organisation(), r.Shard().Service(),
-		r.TimeLeft().Milliseconds(), r.Tried(), r.Regions().Names(), r.Shard().Centre(),
+		r.TimeLeft().Milliseconds(), r.Tried(), r.Regions().Names(), r.Centre(),
 	}
 }
 
@@ -266,11 +253,7 @@
 	for range f.length(maxRegions) {
 		regions = append(regions, f.text())
 	}
-	request = request.WithHistory(timeLeft, tried...).WithRegions(route.NewRegions(regions...))
-	if centre := f.text(); centre != "" {
-		request = request.WithShard(dispatch.NewCentreShard(model, centre))
-	}
-	return request
+	return request.WithHistory(timeLeft, tried...).WithRegions(route.NewRegions(regions...)).WithCentre(f.text())
 }
 
 // maxRegions limits the regions that a slot request names.
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -52,7 +52,6 @@
 	demandReportedAt time.Time
 	demandByDaemon   map[string]daemonDemand // reported to this daemon as the leader
 	shardOwners      []string                // the daemons that count the calls at replicas, the oldest first
-	ownerCentres     map[string]string       // data centres of the shard owners
 	liveNames        []string                // sorted; includes this daemon
 	storeEra         uint64                  // 0 if unknown
 	lag              clock.Lag
@@ -331,6 +330,14 @@
 	return targets
 }
 
+// Centre returns the data centre of this daemon in a deployment with several, empty in any other.
+func (s *State) Centre() string {
+	if s.settings.hasCentres() {
+		return s.settings.centre
+	}
+	return ""
+}
+
 // NextOpening returns when the next replica of a model may open at the earliest.
 func (s *State) NextOpening(now time.Time, model string) time.Time {
 	return s.replica.NextOpening(now, model)
