--- a/pkg/dispatch/local.go
+++ b/pkg/dispatch/local.go
@@ -8,7 +8,7 @@
 
 // minLocalRoom is the share of a replica's slots that must be free for calls of its data centre to prefer it. A replica that runs more calls
 // takes longer until the first event.
-const minLocalRoom = 0.4
+const minLocalRoom = 0.6
 
 // hasLocalRoom reports whether a replica is in the data centre of the daemon that requests a slot, and has room.
 func (s *State) hasLocalRoom(request SlotRequest, t Target, replica *replicaSlots) bool {
