--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -237,8 +237,8 @@
 }
 
 // fastestMembers returns the idle instances of the domain that can form a replica of model first, nil if there are too few.
-// Of equal domains it chooses the one whose instances are cold for the shortest time, then the one with the most idle instances, so that small replicas share domains with large ones and
-// can give them members.
+// Of equal domains it chooses the one whose head is cold for the shortest time, then the one with the most idle instances, so
+// that small replicas share domains with large ones and can give them members.
 func (d *draft) fastestMembers(model route.Model) []member {
 	var best []member
 	var bestTime, bestCold time.Duration
