gateway: Continue a stream only with its rest

Callers whose stream had broken off found the text of an error in it, or a stream that ended as complete before its last event, when the next upstream answered 2xx with something else than the rest of the stream: a text, JSON, an event without an id, an empty body of another type, or 204. Error statuses were not passed on.

Any success on a stream route was read as events: a block of lines without an id was accepted wherever the stream stood, an id that is no number after one that is, and an empty body with a length as the end of the stream.

An answer now continues a stream only with the status and the media type of its head, and its first event with content must have the id that follows. Otherwise the attempt fails as garbled before anything is written; if no attempt is left, the caller's connection is aborted. The log says "answer does not continue the stream" with both types.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -37,6 +37,8 @@
 	effects     chan dispatch.Effect
 	buffered    *bufferedAnswer // the answer that was read completely, nil for none
 	headSent    bool            // whether the head of an answer was sent to the caller
+	status      int             // of that head
+	mediaType   string          // of that head
 	lastEventID string          // of the last event sent to the caller
 	stalls      stallClock      // of the present attempt
 	via         relay.Peer      // that passes the present attempt on, the zero value if none does
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/transport"
@@ -44,12 +46,18 @@
 	errEmptyStream     = errors.New("stream ended without an event")
 	errEventTooLong    = errors.New("event exceeds the size limit")
 	errEventsWithoutID = errors.New("too many events without an id")
+	errNotContinuation = errors.New("answer does not continue the stream")
 )
 
 // forwardStream forwards the events of an answer as they arrive, and reports whether the caller received all of them.
 func (e *exchange) forwardStream(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
+	if err := e.checkContinuation(answer.Response); err != nil {
+		answer.Abort()
+		e.reportNoAnswer(ctx, send, dispatch.Garbled, err)
+		return false
+	}
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
 	ticker := time.NewTicker(send.StallTimeout())
 	defer ticker.Stop()
@@ -89,6 +97,7 @@
 	reader := bufio.NewReader(answer.Response.Body)
 	caller := newCallerWriter(e.writer)
 	first, withoutID := true, 0
+	isContinued := e.lastEventID == "" // the next event with an id tells whether the answer continues the stream
 	for {
 		event, id, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
@@ -103,6 +112,9 @@
 		if !isNextEventID(e.lastEventID, id) {
 			return errEventOrder
 		}
+		if isContinued = isContinued || id != ""; !isContinued && hasContent(event) {
+			return errNotContinuation
+		}
 		e.writeHead(answer.Response)
 		hasData := bytes.Contains(event, []byte("data:"))
 		e.stalls.beginWrite(time.Now())
@@ -125,6 +137,35 @@
 	}
 }
 
+// checkContinuation returns an error if an answer can't continue the stream that has begun, judged by its head: a success with another
+// status or media type may be a report of an error, whose end is not the end of the stream.
+func (e *exchange) checkContinuation(response *http.Response) error {
+	if !e.headSent {
+		return nil
+	}
+	if got := mediaType(response); response.StatusCode != e.status || got != e.mediaType {
+		return fmt.Errorf("%w: status %d and media type %q after %d and %q", errNotContinuation, response.StatusCode, got, e.status, e.mediaType)
+	}
+	return nil
+}
+
+// mediaType returns the media type of an answer without its parameters, empty for none.
+func mediaType(response *http.Response) string {
+	text, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(text))
+}
+
+// hasContent reports whether an event has a line other than comments, its type and the reconnection time, which mean nothing without data.
+func hasContent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		isComment := len(bytes.TrimRight(line, "\r\n")) == 0 || line[0] == ':'
+		if !isComment && !bytes.HasPrefix(line, []byte("retry:")) && !bytes.HasPrefix(line, []byte("event:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // isFramed reports whether the headers of an answer define its end. If only the end of the connection does, an empty
 // answer to a resumed stream can't be distinguished from a lost connection.
 func isFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
@@ -134,7 +175,7 @@
 	if e.headSent {
 		return
 	}
-	e.headSent = true
+	e.headSent, e.status, e.mediaType = true, response.StatusCode, mediaType(response)
 	e.beginUnframed()
 	header := response.Header.Clone()
 	e.daemon.adapter.Headers.RemoveHopHeaders(header)
@@ -170,12 +211,12 @@
 	}
 }
 
-// isNextEventID reports whether the event id may follow last: if both are numbers, id must be last plus one.
+// isNextEventID reports whether an event with this id, empty for none, may follow last: if last is a number, id must be last plus one.
 func isNextEventID(last, id string) bool {
-	before, errBefore := strconv.ParseInt(last, 10, 64)
-	now, errNow := strconv.ParseInt(id, 10, 64)
-	if errBefore != nil || errNow != nil {
+	before, err := strconv.ParseInt(last, 10, 64)
+	if err != nil || id == "" {
 		return true
 	}
-	return now == before+1
+	now, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && now == before+1
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -62,6 +62,21 @@
 		}
 	})
 
+	Convey("A resumed stream goes on with the event after the last one; anything else before it reaches no caller", t, func() {
+		for stream, want := range map[string]error{
+			"data: failed\n\n":                    errNotContinuation,
+			"event: error\ndata: failed\n\n":      errNotContinuation,
+			"error: failed\n\n":                   errNotContinuation,
+			"{\"error\":\"failed\"}\n\n":          errNotContinuation,
+			"id: x\ndata: failed\n\n":             errEventOrder,
+			":\n\nretry: 9\n\nid: 3\ndata: a\n\n": nil,
+		} {
+			got, err := relayBody(stream, true, "2")
+			So(err, ShouldEqual, want)
+			So(got, ShouldNotContainSubstring, "failed")
+		}
+	})
+
 	Convey("A resumed stream without events is complete only if its headers define its end: otherwise the connection may be lost", t, func() {
 		_, err := relayBody("", true, "27")
 		So(err, ShouldBeNil)
