gateway: Break off a stream with a line that is no event

Callers found the whole head of an error in their stream when an upstream, after a part of a stream, wrote an error answer on the same connection: an answer that ends with its connection has no framing that would show it. If the first upstream's event was cut, its half and the head became one event with a valid id.

Any line was accepted as a line of an event. Lines are now comments or fields whose names are in lower case, as those of the format and the platform are; anything else breaks the stream off before the event is forwarded. A line longer than the read buffer is one line: its later parts were read as lines of their own, so that an empty part ended the event too early.

In TestRelay, a line of JSON is now reported as malformed, and still reaches no caller.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 var (
 	errTruncatedEvent  = errors.New("stream ended within an event")
 	errEventOrder      = errors.New("event id does not follow the previous one")
+	errMalformedEvent  = errors.New("event has a line that is no field")
 	errEmptyStream     = errors.New("stream ended without an event")
 	errEventTooLong    = errors.New("event exceeds the size limit")
 	errEventsWithoutID = errors.New("too many events without an id")
@@ -187,9 +188,10 @@
 // readEvent returns the next complete event, including its final empty line, and its id. It returns io.EOF only between
 // events.
 func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
+	start := 0 // of the last line
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := reader.ReadSlice('\n')
+		event = append(event, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
 			continue
 		}
@@ -202,6 +204,11 @@
 		if len(event) > maxEventBytes {
 			return nil, "", errEventTooLong
 		}
+		line := event[start:]
+		start = len(event)
+		if !isEventLine(line) {
+			return nil, "", errMalformedEvent
+		}
 		if value, isID := bytes.CutPrefix(line, []byte("id:")); isID {
 			id = string(bytes.TrimSpace(value))
 		}
@@ -211,6 +218,20 @@
 	}
 }
 
+// isEventLine reports whether a line is empty, a comment or a field. The names of fields are in lower case, unlike those in the head of an
+// answer, which a faulty upstream may write after a part of a stream.
+func isEventLine(line []byte) bool {
+	name, _, hasValue := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+	isName := !bytes.ContainsFunc(name, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_'
+	})
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return hasValue && isName
+}
+
 // isNextEventID reports whether an event with this id, empty for none, may follow last: if last is a number, id must be last plus one.
 func isNextEventID(last, id string) bool {
 	before, err := strconv.ParseInt(last, 10, 64)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -67,7 +67,7 @@
 			"data: failed\n\n":                    errNotContinuation,
 			"event: error\ndata: failed\n\n":      errNotContinuation,
 			"error: failed\n\n":                   errNotContinuation,
-			"{\"error\":\"failed\"}\n\n":          errNotContinuation,
+			"{\"error\":\"failed\"}\n\n":          errMalformedEvent,
 			"id: x\ndata: failed\n\n":             errEventOrder,
 			":\n\nretry: 9\n\nid: 3\ndata: a\n\n": nil,
 		} {
@@ -150,6 +150,33 @@
 }
 
 func TestReadEvent(t *testing.T) {
+	Convey("The head of another answer within a stream reaches no caller, also if it begins within an event", t, func() {
+		head := "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 8\r\n\r\nfailed\n\n"
+		for _, begin := range []string{"", "id: 4\n", "id: 4\ndata: b", "id: 4\ndata: b\n"} {
+			got, err := relayBody("id: 3\ndata: a\n\n"+begin+head, false, "2")
+			So(err, ShouldEqual, errMalformedEvent)
+			So(got, ShouldEqual, "id: 3\ndata: a\n\n")
+		}
+	})
+
+	Convey("A line longer than the buffer is one line, whatever its parts look like", t, func() {
+		for _, rest := range []string{"", "id: 7", "Failed"} {
+			longEvent := "id: 1\n:" + strings.Repeat("x", 4095) + rest + "\n\n"
+			event, id, err := readEvent(bufio.NewReader(strings.NewReader(longEvent)))
+			So(err, ShouldBeNil)
+			So(id, ShouldEqual, "1")
+			So(len(event), ShouldEqual, len(longEvent))
+		}
+	})
+
+	Convey("Fields in lower case, comments and fields without a value are lines of an event", t, func() {
+		stream := "x-weight-versions: 5\r\n: note\r\nid: 1\r\ndata\r\nretry:9\r\nevent:\r\n\r\n"
+		event, id, err := readEvent(bufio.NewReader(strings.NewReader(stream)))
+		So(err, ShouldBeNil)
+		So(id, ShouldEqual, "1")
+		So(string(event), ShouldEqual, stream)
+	})
+
 	Convey("An event longer than the buffer is read completely", t, func() {
 		longEvent := "id: 1\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
 		event, id, err := readEvent(bufio.NewReader(strings.NewReader(longEvent)))
