upstream: Check the ID of an error response before its status

Callers of the chat completions of an engine that sends second copies of refusals were told that their call had not run, "try again", while the engine ran it; or the call was sent to another replica as one that had not run.

Cause: Client.Stream compared the ID only of answers with status 200. Any 429, 503 or 4xx on a kept connection was the refusal of the call that was sent last, also one that names an earlier call, and its Retry-After was used.

Change: an error response that names another call, or names none on a connection that was used before, is an IdentityMismatch: the call may have run. On a new connection, a refusal without an ID belongs to the only call.

Result: TestStream has an engine that answers the second call on a connection with the refusal of the first, which names its call or none. Without the change both are RefusedOverload instead of IdentityMismatch.

--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -1,10 +1,15 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/azurepond/azurepond/internal/standin"
@@ -37,6 +42,43 @@
 
 const requestBody = `{"model":"m","max_tokens":6,"messages":[{"role":"user","content":"hello"}]}`
 
+// repeatingEngine returns the address of an engine that refuses the first call on each connection, and sends the same refusal once more
+// while it runs later ones, and the number of connections opened.
+func repeatingEngine(t *testing.T, refusal string) (address string, opened *atomic.Int64) {
+	opened = &atomic.Int64{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		for reader := bufio.NewReader(conn); ; {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, refusal); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String(), opened
+}
+
 // streamOutput holds the chunks and the result of one attempt.
 type streamOutput struct {
 	text   string
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -73,6 +74,9 @@
 	if completion.tokenOffset > 0 {
 		request.Header.Set(lastEventIDHeader, strconv.Itoa(completion.tokenOffset))
 	}
+	isReused := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { isReused = info.Reused }}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	response, sent, err := transport.Send(c.pooled, request)
 	switch {
 	case err != nil && !sent:
@@ -85,9 +89,20 @@
 		return response, result
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !isAnswerTo(completion.id, response, isReused) {
+		result.failure = engine.IdentityMismatch
+		return nil, result
+	}
 	return nil, errorResult(response, result)
 }
 
+// isAnswerTo reports whether an error response belongs to the request with this ID. One without an ID may be a second copy of an earlier
+// response if its connection was used before.
+func isAnswerTo(id string, response *http.Response, isReused bool) bool {
+	echoed := response.Header.Get(requestIDHeader)
+	return echoed == id || echoed == "" && !isReused
+}
+
 // errorResult adds a status other than 200 to a result. Statuses other than 4xx and 503 count as Broken, since the call
 // may have run.
 func errorResult(response *http.Response, result CompletionResult) CompletionResult {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -77,6 +77,24 @@
 			So(got.result.Status(), ShouldEqual, http.StatusServiceUnavailable)
 		})
 
+		const refusalHead = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
+		for name, refusal := range map[string]string{
+			"that names its call": refusalHead + "X-Request-Id: q1\r\n\r\n", "that names no call": refusalHead + "\r\n",
+		} {
+			Convey("A call that runs is not refused by a second copy of an earlier refusal "+name+" on its connection", func() {
+				address, opened := repeatingEngine(t, refusal)
+				h := &harness{client: New(), address: address}
+				So(h.stream(ctx, "q1", 0).result.Failure(), ShouldEqual, engine.RefusedOverload)
+				var got streamOutput
+				for before := int64(0); before != opened.Load(); { // until a connection is used again
+					before = opened.Load()
+					got = h.stream(ctx, "q2", 0)
+				}
+				So(got.result.Failure(), ShouldEqual, engine.IdentityMismatch)
+				So(got.result.RetryAfter(), ShouldEqual, 0)
+			})
+		}
+
 		Convey("A permanent rejection by the engine returns the error body", func() {
 			completion, err := NewCompletion(h.address, "q1", 0, []byte(`{"model":"other","messages":[]}`))
 			So(err, ShouldBeNil)
