gateway: Use a new connection for each stream that runs once

Callers of streams that can't be resumed got 503 "not run" for a request that an upstream was running, if the upstream sent a refusal once more on a kept connection without its id, or with the id of an earlier attempt of the request. With another upstream, the request would have been placed there as one that had not run.

Cause: only calls of kind Once used a connection of their own. A stream that isn't resumable must not run twice either, but it was sent over a kept connection, where such a refusal passes as its answer.

Change: dispatch.Send says whether the request may be sent again; any other one uses a new connection, to the upstream, to a peer, and from there. Copies that name an earlier request were told apart before. The cost is a new connection for each attempt of such a stream (its relayed attempts: two); other requests open none more.

--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -15,19 +15,19 @@
 	"github.com/azurepond/azurepond/pkg/gateway"
 	"github.com/azurepond/azurepond/pkg/relay"
 	"github.com/azurepond/azurepond/pkg/replica"
-	"github.com/azurepond/azurepond/pkg/route"
 )
 
 var errBodyTooLargeForRelay = errors.New("body exceeds the size limit of peers")
 
 // sendAnyWay sends a request over the first way to its upstream that establishes a connection, unless a connection takes too long. If err is
-// not nil, failure says what became of the request.
+// not nil, failure says what became of the request. One that must not run twice uses a new connection: on a reused one, an answer without an
+// id, or with the id of an earlier attempt of the request, may be a second copy of a refusal.
 func (e *exchange) sendAnyWay(ctx context.Context, send dispatch.Send) (*transport.Exchange, dispatch.Failure, error) {
 	began := time.Now()
 	e.via = relay.Peer{}
 	var lastErr error
 	if send.Way().IsDirect() {
-		answer, sent, err := e.daemon.pool.Do(ctx, send.Address(), send.Kind() == route.Once, e.upstreamMessage(send), e.match)
+		answer, sent, err := e.daemon.pool.Do(ctx, send.Address(), !send.Retryable(), e.upstreamMessage(send), e.match)
 		switch {
 		case err == nil:
 			if answer.IsNewConnection() {
@@ -84,12 +84,12 @@
 ) (*transport.Exchange, dispatch.Failure, error) {
 	e.via = peer
 	kind := hop.Call
-	if send.Kind() == route.Once {
+	if !send.Retryable() {
 		kind = hop.Once
 	}
 	message := e.upstreamMessage(send)
 	hop.Prepare(message.Header, send.Upstream(), kind)
-	answer, sent, err := e.daemon.pool.Do(ctx, peer.Address(), send.Kind() == route.Once, message, e.matchHop)
+	answer, sent, err := e.daemon.pool.Do(ctx, peer.Address(), !send.Retryable(), message, e.matchHop)
 	if err != nil {
 		failure := dispatch.NotSent
 		if sent {
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -24,6 +24,7 @@
 	timeLeft     time.Duration
 	lastEventID  string
 	kind         route.Kind
+	isRetryable  bool
 	stallTimeout time.Duration
 	way          relay.Route
 }
@@ -64,7 +65,10 @@
 // LastEventID returns the id of the last event that the caller received, empty to start from the beginning.
 func (s Send) LastEventID() string { return s.lastEventID }
 
-// Kind returns the kind of the route, which determines what may be retried.
+// Retryable reports whether the request may be sent again although it may have run.
+func (s Send) Retryable() bool { return s.isRetryable }
+
+// Kind returns the kind of the route, which determines how the response is forwarded.
 func (s Send) Kind() route.Kind { return s.kind }
 
 // StallTimeout returns the pause in a stream after which the driver reports StreamStalled.
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -176,7 +176,7 @@
 	s.emit(Send{
 		attempt: a.id, id: c.id, route: c.route.Name(), upstream: best.target.name, address: best.target.address,
 		organisation: c.organisation, priority: c.priority, timeLeft: c.deadline.Sub(now), lastEventID: c.lastEventID,
-		kind: c.route.Kind(), stallTimeout: a.stallTimeout, way: way,
+		kind: c.route.Kind(), isRetryable: c.route.Retryable(), stallTimeout: a.stallTimeout, way: way,
 	})
 	s.note(now, c, NoteSent, best.target.name, "",
 		Inputs{upstreams, best.calls, best.cost, len(s.queue), best.upstream.reportAge(now)})
