gateway: Guard answers that have begun at one place

Three of four effects that end a request checked by themselves whether a part of an answer was sent; a refusal did not, and would have put its text into the middle of a stream that then ended as if it were complete. No way to it is known, as pkg/dispatch refuses only calls without a partial answer.

All complete answers get their writer from one method, which aborts the connection instead. TestErrorTextAfterBegunAnswer fails before at the refusal ("Expected func() to panic").

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,7 +178,7 @@
 	}
 	e.keepAnswer(answer, body)
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
-	e.buffered.writeTo(e.writer, e.request)
+	e.buffered.writeTo(e.answerWriter(), e.request)
 	e.daemon.enqueueDispatch(dispatch.NewCompleted(send.Attempt()))
 	return true
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -145,18 +145,25 @@
 	case dispatch.Fail:
 		e.writeFailure(effect)
 	case dispatch.ForwardFailure:
-		if e.headSent {
-			panic(http.ErrAbortHandler)
-		}
-		e.buffered.asOneThatRan().writeTo(e.writer, e.request)
+		e.buffered.asOneThatRan().writeTo(e.answerWriter(), e.request)
 	case dispatch.Drop:
 		panic(http.ErrAbortHandler)
 	}
 	return true
 }
 
+// answerWriter returns the writer for a complete answer. After a part of another answer was sent, it aborts the connection, since the
+// answer would land in the middle of that one.
+func (e *exchange) answerWriter() http.ResponseWriter {
+	if e.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	return e.writer
+}
+
 // writeRefusal answers that the request did not run.
 func (e *exchange) writeRefusal(r dispatch.Refuse) {
+	writer := e.answerWriter()
 	status := http.StatusServiceUnavailable
 	switch r.Reason() {
 	case dispatch.NoRoute:
@@ -166,19 +173,17 @@
 	}
 	if r.RetryAfter() > 0 {
 		seconds := strconv.FormatFloat(r.RetryAfter().Seconds(), 'f', 2, 64)
-		e.writer.Header().Set("Retry-After", seconds)
+		writer.Header().Set("Retry-After", seconds)
 	}
-	http.Error(e.writer, r.Reason().String(), status)
+	http.Error(writer, r.Reason().String(), status)
 }
 
 // writeFailure answers that all attempts failed; if part of an answer was sent, it aborts the connection.
 func (e *exchange) writeFailure(f dispatch.Fail) {
-	if e.headSent {
-		panic(http.ErrAbortHandler)
-	}
+	writer := e.answerWriter()
 	status := http.StatusBadGateway
 	if f.Expired() {
 		status = http.StatusGatewayTimeout
 	}
-	http.Error(e.writer, f.Reason().String(), status)
+	http.Error(writer, f.Reason().String(), status)
 }
