--- a/internal/commands/gateway.go
+++ b/internal/commands/gateway.go
@@ -46,9 +46,20 @@
 		return err
 	}
 	go c.reloadOnChange(ctx, d, start, reloads)
+	defer flushLog(logs)
 	return d.Run(ctx)
 }
 
+// flushTimeout limits the wait for the last log lines, which is part of the grace period of a shutdown.
+const flushTimeout = 100 * time.Millisecond
+
+// flushLog writes the last log lines before the process exits.
+func flushLog(logs *gateway.LogWriter) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	logs.Flush(ctx)
+}
+
 // reloadOnChange reloads the settings on each SIGHUP and when the modification time of the file changes.
 func (c *gatewayCommand) reloadOnChange(ctx context.Context, d *gateway.Daemon, start time.Time,
 	reloads <-chan os.Signal,
