peer: Refuse the largest section number

Since unknown sections are skipped, the section number 2^64-1 let the check of their order start again, so that known sections could repeat. Found in review by reading; no test.

--- a/pkg/peer/decode.go
+++ b/pkg/peer/decode.go
@@ -67,7 +67,7 @@
 	next := uint64(0)
 	for range count {
 		key := r.number()
-		if r.err == nil && key < next {
+		if r.err == nil && (key < next || key == math.MaxUint64) {
 			r.fail("section %d repeated or out of order", key)
 		}
 		if r.err != nil {
