dispatch: Answer all calls of a stopping daemon whose callers got nothing yet

Cause: a call whose upstreams had all refused it counted as sent, and waited until 200 ms before the end though it had not run. A stream whose upstream had sent only the head of its answer counted as begun, and was closed without an answer although the caller had got nothing.

Change: any waiting call that has not run is refused when it may outlast the daemon, and a stream has begun with its first event. The case of streams without an event expected that one with a head goes on; it expects a failure before the end now, and that one with an event goes on. Found in review.

--- a/pkg/dispatch/shutdown.go
+++ b/pkg/dispatch/shutdown.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // Shutdown is the schedule of a graceful shutdown of this daemon, which with the zero value ends at once.
@@ -48,7 +50,7 @@
 	return engine.Read(model, c.promptTokens).Seconds() + engine.StepTime(model, engine.Slots()).Seconds()*float64(c.outputTokens)
 }
 
-// proceedShutdown refuses the calls that wait to be sent and may outlast this daemon, since another one can finish them. Shortly before
+// proceedShutdown refuses the calls that wait, have not run and may outlast this daemon, since another one can finish them. Shortly before
 // the end, it gives all calls their final answers except those whose answers have begun.
 func (s *State) proceedShutdown(now time.Time) {
 	if !s.stopping {
@@ -58,12 +60,12 @@
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
 		c := s.calls[id]
 		switch {
-		case c.sends == 0 && s.mayOutlast(now, c):
+		case c.attempt == nil && c.runs == 0 && !c.hasPartialAnswer && s.mayOutlast(now, c):
 			s.refuse(now, c, DaemonStopping, stoppingRetryAfter)
 		case !isLast || c.finalEffect != nil:
 		case c.attempt == nil:
 			s.giveUp(now, c, DaemonStopping, stoppingRetryAfter)
-		case !c.hasPartialAnswer:
+		case !c.hasPartialAnswer || c.route.Kind() == route.Stream && !c.attempt.hasEvent:
 			s.halt(c, Fail{c.id, DaemonStopping, false})
 		}
 	}
--- a/pkg/dispatch/shutdown_test.go
+++ b/pkg/dispatch/shutdown_test.go
@@ -72,16 +72,38 @@
 		So(sim.refused[100], ShouldBeTrue)
 	})
 
-	Convey("A stream without an answer gets a failure before the end, and one whose answer has begun is not cancelled", t, func() {
+	Convey("So is a stream that its upstream refused before", t, func() {
+		sim := newSimulation(2, 1)
+		sim.beginShutdown()
+		sim.run(callersLeaveAfter - 500*time.Millisecond)
+		both := sim.targets
+		sim.targets, sim.silent["h1"] = both[1:], true
+		for id := range ID(replicaSlotCount) {
+			sim.arrive(id+1, "large", "/draft/x")
+		}
+		sim.targets = both
+		sim.failWith = func(Send) Failure { return NotRun }
+		sim.arrive(100, "large", "/draft/x")
+		sim.run(100 * time.Millisecond)
+		So(sim.sends[100], ShouldEqual, 1)
+		So(sim.refused[100], ShouldBeFalse)
+		sim.run(400*time.Millisecond + tickInterval)
+		So(sim.refused[100], ShouldBeTrue)
+	})
+
+	Convey("A stream without an event gets a failure before the end, and one whose answer has begun is not cancelled", t, func() {
 		sim := newSimulation(2, 1)
 		sim.silent["h0"], sim.silent["h1"] = true, true
 		sim.beginShutdown()
 		sim.run(2 * time.Second)
 		sim.arrive(1, "large", "/draft/x")
 		sim.arrive(2, "large", "/draft/x")
+		sim.arrive(3, "large", "/draft/x")
 		sim.feed(NewStarted(sim.state.calls[2].attempt.id, Load{}))
+		sim.feed(NewStarted(sim.state.calls[3].attempt.id, Load{}))
+		sim.feed(NewFirstEventReceived(sim.state.calls[3].attempt.id))
 		sim.run(shutdownTime - 2*time.Second)
-		So(sim.failed, ShouldResemble, map[ID]Reason{1: DaemonStopping})
+		So(sim.failed, ShouldResemble, map[ID]Reason{1: DaemonStopping, 2: DaemonStopping})
 		So(sim.state.Active(), ShouldEqual, 1)
 	})
 }
