gateway, platform: Close connections when the schedule of the shutdown says so

Found in review. Cause: the process ended by the grace period of its start, counted from when the signal was queued, and the reducer answered the last calls by the grace period of the last reload, counted from when it handled the signal. After a reload, or while the reducer was late, calls could be closed before their final answers.

Change: the event carries the time of the signal, and the reducer tells the driver when the shutdown ends.

Also: a Cancel that came before the goroutine of a request had begun the attempt was lost, and a halted call ran on.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -95,6 +95,5 @@
 	ReadinessAddress string
 	DirectoryAddress string // for callers that request the address list
 	MetricsAddress   string
-	RelayAddress     string        // for requests that the daemon passes on for its peers
-	GracePeriod      time.Duration // maximum time from the stop signal to the end of the process
+	RelayAddress     string // for requests that the daemon passes on for its peers
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,9 +62,7 @@
 
 // runAttempt sends the request to an upstream, and reports whether the caller received the complete answer.
 func (e *exchange) runAttempt(send dispatch.Send) bool {
-	ctx, cancel := context.WithCancel(e.daemon.ctx)
-	defer cancel()
-	e.daemon.addAttempt(send.Attempt(), cancel)
+	ctx := e.daemon.attemptContext(send.Attempt())
 	defer e.daemon.removeAttempt(send.Attempt())
 	if e.request.Context().Err() != nil {
 		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
@@ -95,16 +93,40 @@
 	return e.forwardBuffered(ctx, send, answer, class)
 }
 
-func (d *Daemon) addAttempt(attempt dispatch.AttemptID, cancel context.CancelFunc) {
+// attemptWork is the context of an attempt.
+type attemptWork struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// addAttempt adds an attempt before it is delivered, so that it can be cancelled from then on.
+func (d *Daemon) addAttempt(attempt dispatch.AttemptID) {
+	ctx, cancel := context.WithCancel(d.ctx)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.attemptCancels[attempt] = cancel
+	d.attempts[attempt] = attemptWork{ctx, cancel}
 }
 
-func (d *Daemon) removeAttempt(attempt dispatch.AttemptID) {
+// attemptContext returns the context of an attempt, which is cancelled already if the attempt was removed.
+func (d *Daemon) attemptContext(attempt dispatch.AttemptID) context.Context {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	delete(d.attemptCancels, attempt)
+	if work, isKnown := d.attempts[attempt]; isKnown {
+		return work.ctx
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	cancel()
+	return ctx
+}
+
+func (d *Daemon) removeAttempt(attempt dispatch.AttemptID) {
+	d.mutex.Lock()
+	work := d.attempts[attempt]
+	delete(d.attempts, attempt)
+	d.mutex.Unlock()
+	if work.cancel != nil {
+		work.cancel()
+	}
 }
 
 // upstreamMessage returns the request to the upstream.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -50,14 +50,15 @@
 	cancel            context.CancelFunc
 	servers           []*http.Server     // those that Run started
 	stopUpstreamWatch context.CancelFunc // nil while no watch runs
+	stopEnds          chan time.Time     // the end of the graceful shutdown
 	stopped           chan struct{}
 
-	mutex          sync.Mutex
-	watchCtx       context.Context // of all object watches, nil while there are none
-	watchCancel    context.CancelFunc
-	exchanges      map[dispatch.ID]*exchange
-	attemptCancels map[dispatch.AttemptID]context.CancelFunc
-	relayed        map[gateway.RelayID]chan gateway.RelayDecided // requests of peers
+	mutex       sync.Mutex
+	watchCtx    context.Context // of all object watches, nil while there are none
+	watchCancel context.CancelFunc
+	exchanges   map[dispatch.ID]*exchange
+	attempts    map[dispatch.AttemptID]attemptWork
+	relayed     map[gateway.RelayID]chan gateway.RelayDecided // requests of peers
 }
 
 // New returns the daemon with settings s, which reaches the platform through adapter.
@@ -67,8 +68,8 @@
 	d := &Daemon{
 		settings: s, adapter: adapter, log: &logger{log}, registry: registry, recorder: metrics.NewRecorder(registry),
 		events: make(chan gateway.Event, maxQueuedEvents),
-		ctx:    ctx, cancel: cancel, stopped: make(chan struct{}),
-		exchanges: map[dispatch.ID]*exchange{}, attemptCancels: map[dispatch.AttemptID]context.CancelFunc{},
+		ctx:    ctx, cancel: cancel, stopEnds: make(chan time.Time, 1), stopped: make(chan struct{}),
+		exchanges: map[dispatch.ID]*exchange{}, attempts: map[dispatch.AttemptID]attemptWork{},
 		relayed: map[gateway.RelayID]chan gateway.RelayDecided{},
 	}
 	d.addresses.Store(&[]gateway.Address{})
@@ -247,9 +248,16 @@
 		return nil
 	case <-ctx.Done():
 	}
-	d.log.Info("daemon", "stopping", "grace", d.settings.GracePeriod)
-	d.enqueue(gateway.NewStopping())
-	graceCtx, endGrace := context.WithTimeout(serveCtx, d.settings.GracePeriod)
+	signalledAt := time.Now()
+	d.enqueue(gateway.NewStopping(signalledAt))
+	var ends time.Time
+	select {
+	case <-serveCtx.Done():
+		return nil
+	case ends = <-d.stopEnds:
+	}
+	d.log.Info("daemon", "stopping", "grace", ends.Sub(signalledAt))
+	graceCtx, endGrace := context.WithDeadline(serveCtx, ends)
 	defer endGrace()
 	select {
 	case <-graceCtx.Done():
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -39,6 +39,8 @@
 	case gateway.Ready:
 		d.ready.Store(effect.Ready())
 		d.log.Info("daemon", "ready", "ready", effect.Ready(), "reason", effect.Reason())
+	case gateway.StopScheduled:
+		d.stopEnds <- effect.Ends()
 	case gateway.StopAccepting:
 		d.log.Info("daemon", "refusing new requests")
 	case gateway.Stopped:
@@ -263,7 +265,10 @@
 	case dispatch.LimitChanged:
 		d.log.Info("upstream", "limit", "upstream", effect.Upstream(), "perSecond", effect.PerSecond(), "source", effect.Source())
 	case dispatch.Send:
-		d.deliver(effect.ID(), effect)
+		d.addAttempt(effect.Attempt())
+		if !d.deliver(effect.ID(), effect) {
+			d.removeAttempt(effect.Attempt())
+		}
 	case dispatch.Refuse:
 		d.deliver(effect.ID(), effect)
 	case dispatch.Fail:
@@ -275,22 +280,23 @@
 	}
 }
 
-// deliver sends an effect to the goroutine that serves the request.
-func (d *Daemon) deliver(id dispatch.ID, effect dispatch.Effect) {
+// deliver sends an effect to the goroutine that serves the request, and reports whether there is one.
+func (d *Daemon) deliver(id dispatch.ID, effect dispatch.Effect) bool {
 	d.mutex.Lock()
 	e := d.exchanges[id]
 	d.mutex.Unlock()
 	if e != nil {
 		e.effects <- effect
 	}
+	return e != nil
 }
 
 // cancelAttempt cancels the context of an attempt.
 func (d *Daemon) cancelAttempt(attempt dispatch.AttemptID) {
 	d.mutex.Lock()
-	cancel := d.attemptCancels[attempt]
+	work := d.attempts[attempt]
 	d.mutex.Unlock()
-	if cancel != nil {
-		cancel()
+	if work.cancel != nil {
+		work.cancel()
 	}
 }
--- a/pkg/gateway/addresses_test.go
+++ b/pkg/gateway/addresses_test.go
@@ -94,7 +94,7 @@
 					case i%2 == 1 && len(killed) < size.killed:
 						killed = append(killed, d)
 						if way == "shut down and ended" {
-							f.feed(d, NewStopping())
+							f.feed(d, NewStopping(f.now))
 						}
 					case i == 0, i == 4:
 						f.cutStore(d)
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -60,6 +60,12 @@
 // Reason returns why the daemon is ready or not.
 func (r Ready) Reason() string { return r.reason }
 
+// StopScheduled tells the driver when a graceful shutdown closes all connections.
+type StopScheduled struct{ ends time.Time }
+
+// Ends returns the end of the shutdown.
+func (s StopScheduled) Ends() time.Time { return s.ends }
+
 // StopAccepting tells the driver that new requests are refused from now on, since this daemon stops.
 type StopAccepting struct{}
 
@@ -305,6 +311,8 @@
 
 func (StopAccepting) isEffect() {}
 
+func (StopScheduled) isEffect() {}
+
 func (Stopped) isEffect() {}
 
 func (LeaderChanged) isEffect() {}
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -130,10 +130,10 @@
 }
 
 // Stopping reports that a graceful shutdown of this daemon begins.
-type Stopping struct{}
+type Stopping struct{ signalledAt time.Time }
 
-// NewStopping returns the event that a graceful shutdown of this daemon begins.
-func NewStopping() Stopping { return Stopping{} }
+// NewStopping returns the event that a graceful shutdown of this daemon begins, which was signalled at a time.
+func NewStopping(signalledAt time.Time) Stopping { return Stopping{signalledAt} }
 
 // TickInterval is the time between two ticks.
 const TickInterval = 25 * time.Millisecond // a tenth of the shortest known latency objective of a caller
--- a/pkg/gateway/relayed_test.go
+++ b/pkg/gateway/relayed_test.go
@@ -76,7 +76,7 @@
 				}
 				return false
 			}
-			s.Reduce(now, NewStopping())
+			s.Reduce(now, NewStopping(now))
 			now = now.Add(2 * time.Second)
 			So(isStopped(s.Reduce(now, NewTicked(now))), ShouldBeFalse)
 			So(s.asked(now, 2, "u", true).Refusal(), ShouldEqual, RelayBusy)
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -99,7 +99,7 @@
 	case StoreCompleted:
 		s.storeCompleted(now, e)
 	case Stopping:
-		s.stop(now)
+		s.stop(now, e.signalledAt)
 	case Ticked:
 		s.tick(now)
 	case Suspended:
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -22,15 +22,17 @@
 
 // stop begins a graceful shutdown: the daemon is no longer advertised to callers, but still serves the requests of callers
 // with an old address list.
-func (s *State) stop(now time.Time) {
+func (s *State) stop(now, signalledAt time.Time) {
 	if !s.stopping.IsZero() {
 		return
 	}
-	s.stopping = now
+	s.stopping = signalledAt
 	s.shutdown = s.settings.shutdown
+	s.emit(StopScheduled{signalledAt.Add(s.shutdown.end)})
 	s.reducePeer(now, peer.NewLeaving())
 	s.reduceDispatch(now, dispatch.NewStopping(
-		dispatch.NewShutdown(now.Add(s.shutdown.callersLeave), now.Add(s.shutdown.refusal), now.Add(s.shutdown.end))))
+		dispatch.NewShutdown(
+			signalledAt.Add(s.shutdown.callersLeave), signalledAt.Add(s.shutdown.refusal), signalledAt.Add(s.shutdown.end))))
 	s.refreshReady()
 	s.members.refreshedAt = time.Time{}
 	s.refreshMembers(now)
