gateway: Skip fields of newer builds in messages to other daemons

The decoders of the list, slots, usage, crashes, limits, findings and parts of prompts refused a message with a further field, and one upstream in an unknown phase made the whole list unreadable. Entries of usage shorter than expected were read out of step.

Arrays are read with at least the fields that this build knows, and further ones are skipped. An unknown phase means that the upstream is in no replica, as for an unknown state in the store.

--- a/pkg/gateway/evacuationmessage.go
+++ b/pkg/gateway/evacuationmessage.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // The set of evacuated data centres is the last field of a message about the list: an empty array if it is not known, else era, version
@@ -27,15 +29,21 @@
 }
 
 func (f *decodedFields) evacuations() evacuationSet {
-	if f.length(evacuationSetFields) == 0 {
+	n := f.length(maxListEntries)
+	if n == 0 {
 		return evacuationSet{}
 	}
+	if n < evacuationSetFields {
+		f.setError(trace.BadParameter("set of evacuations of %d elements, want %d", n, evacuationSetFields))
+	}
 	set := evacuationSet{true, f.number(), f.number(), map[string]time.Duration{}}
 	for range f.length(maxListEntries) {
-		f.exactLength(evacuationFields)
-		centre := f.text()
-		set.ages[centre] = max(f.milliseconds(), unknownAge)
+		f.record(evacuationFields, func() {
+			centre := f.text()
+			set.ages[centre] = max(f.milliseconds(), unknownAge)
+		})
 	}
+	f.skip(n - evacuationSetFields)
 	set.known = f.err == nil
 	return set
 }
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -18,10 +18,9 @@
 const limitFields = 2
 
 func (f *decodedFields) limit(from string) dispatch.LimitReported {
-	if n := f.length(limitFields); n != limitFields {
-		f.setError(trace.BadParameter("limit of %d fields", n))
-	}
-	upstream, perSecond := f.text(), f.float()
+	var upstream string
+	var perSecond float64
+	f.record(limitFields, func() { upstream, perSecond = f.text(), f.float() })
 	if !isLimit(perSecond) {
 		f.setError(trace.BadParameter("limit of %q: %v a second", upstream, perSecond))
 	}
--- a/pkg/gateway/listmessage.go
+++ b/pkg/gateway/listmessage.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/azurepond/azurepond/pkg/peer"
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
@@ -29,6 +30,7 @@
 const (
 	listMessageFields = 9
 	upstreamFields    = 14
+	membershipFields  = 2 // rank and phase
 	maxListEntries    = 4096
 )
 
@@ -88,11 +90,24 @@
 	return max(n, 0)
 }
 
-// exactLength reads the length of an array, which must be n.
-func (f *decodedFields) exactLength(n int) {
-	if got := f.length(n); got != n {
+// record reads an array of at least n elements with read. It skips further elements, which a newer build may send.
+func (f *decodedFields) record(n int, read func()) {
+	got := f.length(maxListEntries)
+	if got < n {
 		f.setError(trace.BadParameter("array of %d elements, want %d", got, n))
 	}
+	if f.err != nil {
+		return
+	}
+	read()
+	f.skip(got - n)
+}
+
+// skip skips n values.
+func (f *decodedFields) skip(n int) {
+	if f.err == nil {
+		f.setError(peer.SkipValues(f.decoder, n))
+	}
 }
 
 func (f *decodedFields) flag() bool {
@@ -142,43 +157,57 @@
 
 func decodeListMessage(data []byte) (listMessage, error) {
 	f := decodedFields{decoder: msgpack.NewDecoder(bytes.NewReader(data))}
-	if n := f.length(listMessageFields); n != listMessageFields {
-		f.setError(trace.BadParameter("list message of %d fields", n))
-	}
-	l := listMessage{
-		isRequest: f.flag(), readerStart: f.number(),
-		fromRevision: f.number(), toRevision: f.number(),
-		complete: f.flag(), unavailable: f.flag(),
-	}
-	for range f.length(maxListEntries) {
-		l.changed = append(l.changed, f.upstream())
-	}
-	for range f.length(maxListEntries) {
-		l.gone = append(l.gone, replica.ID(f.text()))
-	}
-	l.evacuations = f.evacuations()
+	var l listMessage
+	f.record(listMessageFields, func() {
+		l = listMessage{
+			isRequest: f.flag(), readerStart: f.number(),
+			fromRevision: f.number(), toRevision: f.number(),
+			complete: f.flag(), unavailable: f.flag(),
+		}
+		for range f.length(maxListEntries) {
+			l.changed = append(l.changed, f.upstream())
+		}
+		for range f.length(maxListEntries) {
+			l.gone = append(l.gone, replica.ID(f.text()))
+		}
+		l.evacuations = f.evacuations()
+	})
 	return l, f.err
 }
 
 func (f *decodedFields) upstream() Upstream {
-	if n := f.length(upstreamFields); n != upstreamFields {
-		f.setError(trace.BadParameter("upstream of %d fields", n))
+	var u Upstream
+	f.record(upstreamFields, func() {
+		service, slots := f.text(), int(f.signed())
+		id, address, centre, domain := replica.ID(f.text()), f.text(), f.text(), f.text()
+		i := replica.NewInstance(id, address, centre, domain, f.signed()).WithLeaving(f.flag())
+		loaded := f.text()
+		var staged []string
+		for range f.length(maxListEntries) {
+			staged = append(staged, f.text())
+		}
+		i = i.WithModels(loaded, staged...).WithMembership(f.membership())
+		u = NewUpstream(service, slots, i).WithColdLeft(f.milliseconds())
+	})
+	return u
+}
+
+// membership reads the replica of an upstream. An upstream in a phase that this build does not know belongs to no replica, as one in
+// an unknown state in the store.
+func (f *decodedFields) membership() replica.Membership {
+	name, epoch := f.text(), f.number()
+	var rank int
+	var phase replica.Phase
+	f.record(membershipFields, func() { rank, phase = int(f.signed()), phaseOf(f.number()) })
+	if phase == replica.PhaseNone {
+		return replica.Membership{}
 	}
-	service, slots := f.text(), int(f.signed())
-	id, address, centre, domain := replica.ID(f.text()), f.text(), f.text(), f.text()
-	i := replica.NewInstance(id, address, centre, domain, f.signed()).WithLeaving(f.flag())
-	loaded := f.text()
-	var staged []string
-	for range f.length(maxListEntries) {
-		staged = append(staged, f.text())
+	return replica.NewMembership(name, epoch, rank, phase)
+}
+
+func phaseOf(number uint64) replica.Phase {
+	if number > uint64(replica.PhaseBroken) {
+		return replica.PhaseNone
 	}
-	name, epoch := f.text(), f.number()
-	f.length(2)
-	rank, phase := int(f.signed()), replica.Phase(f.number())
-	if phase > replica.PhaseBroken {
-		f.setError(trace.BadParameter("phase %d", phase))
-		return Upstream{}
-	}
-	i = i.WithModels(loaded, staged...).WithMembership(replica.NewMembership(name, epoch, rank, phase))
-	return NewUpstream(service, slots, i).WithColdLeft(f.milliseconds())
+	return replica.Phase(number)
 }
--- a/pkg/gateway/parts.go
+++ b/pkg/gateway/parts.go
@@ -102,11 +102,13 @@
 	f := decodedFields{decoder: msgpack.NewDecoder(bytes.NewReader(data))}
 	switch topic {
 	case partCrashTopic:
-		f.exactLength(partCrashFields)
-		return dispatch.NewPartCrashReported(f.text(), f.text()), f.err
+		var e dispatch.Event
+		f.record(partCrashFields, func() { e = dispatch.NewPartCrashReported(f.text(), f.text()) })
+		return e, f.err
 	case partAnsweredTopic:
-		f.exactLength(partAnsweredFields)
-		return dispatch.NewPartAnswered(f.text()), f.err
+		var e dispatch.Event
+		f.record(partAnsweredFields, func() { e = dispatch.NewPartAnswered(f.text()) })
+		return e, f.err
 	case partsAskedTopic:
 		var parts []string
 		for range f.length(maxPartsAsked) {
@@ -114,8 +116,8 @@
 		}
 		return dispatch.NewPartsAsked(parts...), f.err
 	default:
-		f.exactLength(partMarkFields)
-		part := f.text()
-		return dispatch.NewPartMarked(part, f.milliseconds()), f.err
+		var e dispatch.Event
+		f.record(partMarkFields, func() { e = dispatch.NewPartMarked(f.text(), f.milliseconds()) })
+		return e, f.err
 	}
 }
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -205,10 +205,9 @@
 }
 
 func (f *decodedFields) crash() dispatch.CrashReported {
-	if n := f.length(crashFields); n != crashFields {
-		f.setError(trace.BadParameter("crash report of %d fields", n))
-	}
-	return dispatch.NewCrashReported(f.number(), f.text())
+	var e dispatch.CrashReported
+	f.record(crashFields, func() { e = dispatch.NewCrashReported(f.number(), f.text()) })
+	return e
 }
 
 // hexBase is the base in which content hashes are formatted.
@@ -234,9 +233,12 @@
 }
 
 func (f *decodedFields) slotRequest() dispatch.SlotRequest {
-	if n := f.length(slotRequestFields); n != slotRequestFields {
-		f.setError(trace.BadParameter("slot request of %d fields", n))
-	}
+	var r dispatch.SlotRequest
+	f.record(slotRequestFields, func() { r = f.slotRequestFields() })
+	return r
+}
+
+func (f *decodedFields) slotRequestFields() dispatch.SlotRequest {
 	id, model, number := f.number(), f.text(), f.number()
 	prompt, priority, onTimeWait, maxWait := int(f.signed()), int(f.signed()), f.milliseconds(), f.milliseconds()
 	organisation, shard := f.text(), dispatch.NewShard(model, number)
@@ -267,24 +269,26 @@
 }
 
 func (f *decodedFields) slotReply() dispatch.SlotReply {
-	if n := f.length(slotReplyFields); n != slotReplyFields {
-		f.setError(trace.BadParameter("slot reply of %d fields", n))
-	}
-	requestID, status, upstream := f.number(), dispatch.SlotStatus(f.number()), f.text()
-	if status > dispatch.SlotNoReplicas {
-		f.setError(trace.BadParameter("slot status %d", status))
-	}
-	calls := int(f.signed())
-	reply := dispatch.NewSlotReply(requestID, status, int(f.signed())).WithSlot(upstream, calls)
-	return reply.WithRetryAfter(f.milliseconds())
+	var reply dispatch.SlotReply
+	f.record(slotReplyFields, func() {
+		requestID, status, upstream := f.number(), f.number(), f.text()
+		if status > uint64(dispatch.SlotNoReplicas) {
+			f.setError(trace.BadParameter("slot status %d", status))
+		}
+		calls := int(f.signed())
+		reply = dispatch.NewSlotReply(requestID, dispatch.SlotStatus(status), int(f.signed())).WithSlot(upstream, calls)
+		reply = reply.WithRetryAfter(f.milliseconds())
+	})
+	return reply
 }
 
 func (f *decodedFields) usage() map[string]dispatch.ReplicaUsage {
 	usage := map[string]dispatch.ReplicaUsage{}
 	for range f.length(maxUsageEntries) {
-		f.length(usageFields)
-		head, calls := f.text(), int(f.signed())
-		usage[head] = dispatch.NewReplicaUsage(calls, float64(f.signed())/slowdownScale)
+		f.record(usageFields, func() {
+			head, calls := f.text(), int(f.signed())
+			usage[head] = dispatch.NewReplicaUsage(calls, float64(f.signed())/slowdownScale)
+		})
 	}
 	return usage
 }
--- a/pkg/gateway/watchmessage.go
+++ b/pkg/gateway/watchmessage.go
@@ -57,15 +57,17 @@
 func (s *State) receiveWatchMessage(now time.Time, topic, from string, data []byte) {
 	f := decodedFields{decoder: msgpack.NewDecoder(bytes.NewReader(data))}
 	if topic == suspicionTopic {
-		f.exactLength(suspicionFields)
-		key, isSingle := replica.ID(f.text()), f.flag()
+		var key replica.ID
+		var isSingle bool
+		f.record(suspicionFields, func() { key, isSingle = replica.ID(f.text()), f.flag() })
 		if s.isDecoded(topic, from, f.err) {
 			s.watch(now, key, from, isSingle)
 		}
 		return
 	}
-	f.exactLength(findingFields)
-	kind, key, id := f.number(), replica.ID(f.text()), replica.ID(f.text())
+	var kind uint64
+	var key, id replica.ID
+	f.record(findingFields, func() { kind, key, id = f.number(), replica.ID(f.text()), replica.ID(f.text()) })
 	if kind > uint64(findingDead) {
 		f.setError(trace.BadParameter("finding %d", kind))
 	}
