relay: Assume that a request with an unknown outcome was sent

A daemon treated an answer of another daemon with an outcome that it does not know as a request that was not sent, and could send it once more to another upstream, also one that must not run twice. A newer build may have outcomes of its own.

Only the outcomes that promise that nothing was sent now count so. The test failed before on the unknown outcome.

--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -110,7 +110,7 @@
 	}
 	answer.Drain(maxRejectionBytes, maxRejectionTime)
 	e.daemon.recorder.RequestRelayed(string(outcome))
-	if outcome == hop.Interrupted {
+	if outcome.IsSent() {
 		return nil, dispatch.Interrupted, hop.OutcomeError{Outcome: outcome}
 	}
 	e.daemon.enqueueRelay(relay.NewFailed(peer.Name(), send.Upstream(), relayFailures[outcome]))
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -42,8 +42,10 @@
 	Interrupted Outcome = "interrupted" // the request was sent, but the connection closed without an answer
 )
 
-// IsSent reports whether the request may have reached the upstream.
-func (o Outcome) IsSent() bool { return o == Answered || o == Interrupted }
+// IsSent reports whether the request may have reached the upstream. That is assumed of outcomes of newer builds, which are unknown.
+func (o Outcome) IsSent() bool {
+	return o != Busy && o != Unfit && o != Refused && o != Unreachable
+}
 
 // Prepare adds the headers of a hop to a request to an upstream.
 func Prepare(header http.Header, upstream string, kind Kind) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -164,6 +164,7 @@
 		So(outcome(h), ShouldEqual, Busy)
 		So(Busy.IsSent() || Refused.IsSent() || Unreachable.IsSent() || Unfit.IsSent(), ShouldBeFalse)
 		So(Interrupted.IsSent() && Answered.IsSent(), ShouldBeTrue)
+		So(Outcome("of a newer build").IsSent(), ShouldBeTrue)
 	})
 
 	Convey("A refused connection is reported to the daemon that tried it", t, func() {
