link: Skip fields of newer builds in a hello

The hello was decoded as an array of exactly three fields, so that a build with one more field could not have opened a link to this one. Further fields are skipped now.

--- a/internal/link/hello.go
+++ b/internal/link/hello.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"bytes"
+
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -29,11 +31,24 @@
 	return data, trace.Wrap(err)
 }
 
+// helloFields is the number of fields of a hello. A newer build may send more, which are skipped.
+const helloFields = 3
+
 func decodeHello(data []byte) (hello, error) {
-	var wire wireHello
-	if err := msgpack.Unmarshal(data, &wire); err != nil {
+	decoder := msgpack.NewDecoder(bytes.NewReader(data))
+	n, err := decoder.DecodeArrayLen()
+	if err != nil {
 		return hello{}, trace.BadParameter("malformed hello: %v", err)
 	}
+	if n < helloFields {
+		return hello{}, trace.BadParameter("malformed hello: %d fields, want %d", n, helloFields)
+	}
+	var wire wireHello
+	for _, field := range []*string{&wire.Protocol, &wire.Name, &wire.Address} {
+		if *field, err = decoder.DecodeString(); err != nil {
+			return hello{}, trace.BadParameter("malformed hello: %v", err)
+		}
+	}
 	if wire.Protocol != protocol {
 		return hello{}, trace.BadParameter("the hello has protocol %q instead of %q", wire.Protocol, protocol)
 	}
