soak: Keep the ports of proxies while they refuse connections

A proxy closed its listener to refuse connections, and an outgoing connection took its port before it listened again.

The port stays bound while connections are refused. TestPortOfRefusingProxyIsTaken fails without that, as the port is free.

--- a/internal/soak/paths_test.go
+++ b/internal/soak/paths_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"testing"
 )
 
 // paths are the paths of one daemon to the upstreams: a proxy for each of them, whose address the daemon reads in the list.
@@ -115,3 +116,24 @@
 	go func() { _ = server.Serve(listener) }() // stopped by Close
 	return p, listener.Addr().String(), func() { _ = server.Close() }, nil
 }
+
+func TestPortOfRefusingProxyIsTaken(t *testing.T) {
+	p, err := newProxy("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.refuse(false)
+	if c, err := net.Dial("tcp", p.address()); err == nil {
+		_ = c.Close()
+		t.Error("a connection is accepted while they are refused")
+	}
+	if l, err := net.Listen("tcp", p.address()); err == nil {
+		_ = l.Close()
+		t.Error("the port is free while connections are refused")
+	}
+	if err := p.reopen(); err != nil {
+		t.Fatal(err)
+	}
+	p.refuse(true)
+	p.release()
+}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 
 	mutex     sync.Mutex
 	listener  net.Listener
+	isOpen    bool
+	holder    int // socket that keeps the port while connections are refused, 0 for none
 	fault     networkFault
 	openConns map[net.Conn]bool // whether the connection is silent
 }
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, listenAddress: l.Addr().String(), target: target, openConns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, isOpen: true, listenAddress: l.Addr().String(), target: target, openConns: map[net.Conn]bool{}}
 	go p.accept(l)
 	return p, nil
 }
@@ -45,7 +48,11 @@
 func (p *proxy) refuse(resetOpen bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	_ = p.listener.Close() // it may be closed already
+	if p.isOpen {
+		p.isOpen = false
+		_ = p.listener.Close() // connections are refused from now on, whatever it returns
+		p.hold()
+	}
 	for c := range p.openConns {
 		if resetOpen {
 			reset(c)
@@ -53,16 +60,43 @@
 	}
 }
 
+// hold binds the port without listening, since an outgoing connection could take it otherwise before reopen. If that fails, the port was
+// taken already, which reopen reports.
+func (p *proxy) hold() {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return
+	}
+	address := syscall.SockaddrInet4{Port: p.listener.Addr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if syscall.Bind(fd, &address) != nil {
+		_ = syscall.Close(fd)
+		return
+	}
+	p.holder = fd
+}
+
+// release gives the port up that hold keeps.
+func (p *proxy) release() {
+	if p.holder > 0 {
+		_ = syscall.Close(p.holder)
+		p.holder = 0
+	}
+}
+
 // reopen makes new connections be accepted again.
 func (p *proxy) reopen() error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	_ = p.listener.Close() // it may be open still
+	if p.isOpen {
+		return nil
+	}
+	p.release()
 	l, err := net.Listen("tcp", p.listenAddress)
 	if err != nil {
 		return err
 	}
-	p.listener = l
+	p.listener, p.isOpen = l, true
 	go p.accept(l)
 	return nil
 }
