--- a/internal/soak/paths_test.go
+++ b/internal/soak/paths_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -127,9 +128,14 @@
 		_ = c.Close()
 		t.Error("a connection is accepted while they are refused")
 	}
-	if l, err := net.Listen("tcp", p.address()); err == nil {
+	exclusive := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0) // as outgoing connections
+		})
+	}}
+	if l, err := exclusive.Listen(t.Context(), "tcp", p.address()); err == nil {
 		_ = l.Close()
-		t.Error("the port is free while connections are refused")
+		t.Error("an outgoing connection may take the port while connections are refused")
 	}
 	if err := p.reopen(); err != nil {
 		t.Fatal(err)
