gateway: Log among how many daemons the retry burst is divided

Cause: logs and metrics could not tell whether a daemon that sent many retries counted too few peers. What it took from its budget, and when a retry was granted and sent, can be seen from the decisions on each request. Change: a log line and the gauge azurepond_repeat_sharers whenever the number changes.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -71,6 +71,9 @@
 	case gateway.EvacuationChanged:
 		d.recorder.CentreEvacuated(effect.Centre(), int64(effect.Phase()))
 		d.log.Info("evacuation", effect.Phase().String(), "centre", effect.Centre(), "version", effect.Version(), "age", effect.Age())
+	case gateway.RetrySharersChanged:
+		d.recorder.SetGauge(metrics.RetrySharers, int64(effect.Count()))
+		d.log.Info("dispatch", "retry burst shared", "daemons", effect.Count())
 	case gateway.PartsSuspected:
 		d.log.Info("dispatch", "parts suspected", "parts", effect.Parts())
 	case gateway.PartMarked:
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -55,6 +55,11 @@
 		[]string{"service"},
 		"requests", "How often this daemon may still send requests to a service again.",
 	}
+	RetrySharers = Metric{
+		"azurepond_repeat_sharers",
+		nil,
+		"daemons", "Among how many daemons this daemon divides the burst of the retry budget, 0 while that is unknown.",
+	}
 	DroppedLogLines = Metric{
 		"azurepond_log_lines_dropped",
 		nil,
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -90,6 +90,12 @@
 // Owners returns their names, by rank.
 func (s ShardOwnersChanged) Owners() []string { return s.owners }
 
+// RetrySharersChanged reports among how many daemons this daemon divides the burst of the retry budget.
+type RetrySharersChanged struct{ count int }
+
+// Count returns the number of daemons, this one included, or 0 while it is unknown.
+func (r RetrySharersChanged) Count() int { return r.count }
+
 // ResetStore closes the connections to the store that are not in use, so that the next calls open new ones. A watch delivered
 // nothing on one of them.
 type ResetStore struct {
@@ -319,6 +325,8 @@
 
 func (ShardOwnersChanged) isEffect() {}
 
+func (RetrySharersChanged) isEffect() {}
+
 func (PartsSuspected) isEffect() {}
 
 func (PartMarked) isEffect() {}
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -356,5 +356,6 @@
 			count = 0
 		}
 		s.reduceDispatch(now, dispatch.NewBudgetPeersChanged(count))
+		s.emit(RetrySharersChanged{count})
 	}
 }
