--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -269,3 +271,44 @@
 	}
 	return count
 }
+
+func TestDelayedRetriesBeyondBudget(t *testing.T) {
+	Convey("Retries that waited for an upstream do not add to those of the next window", t, func() {
+		const burst = 20
+		sim := newSimulation(8, 1)
+		sim.feed(NewRetryLimitsChanged(NewRetryLimits(0, burst, 10*time.Second)))
+		// interrupt ends calls in the middle of their streams, which resume once an upstream has room for them.
+		interrupt := func(from ID, room time.Duration) {
+			for id := from; id < from+burst; id++ {
+				sim.arrive(id, "large", "/draft/x")
+			}
+			sim.run(200 * time.Millisecond)
+			targets := sim.targets
+			sim.targets = nil
+			for _, target := range targets {
+				sim.targets = append(sim.targets, NewTarget(target.name, target.address, true, 0))
+			}
+			for _, attempt := range slices.Sorted(maps.Keys(sim.running)) {
+				sim.feed(NewFailed(attempt, Interrupted).WithProgress("7"))
+			}
+			sim.timers = nil
+			sim.run(room)
+			sim.targets = targets
+			sim.run(100 * time.Millisecond)
+		}
+		retries := func() int {
+			count := 0
+			for _, sends := range sim.sends {
+				count += sends - 1
+			}
+			return count
+		}
+
+		interrupt(1, 5*time.Second)
+		So(retries(), ShouldBeGreaterThan, burst/2)
+		clear(sim.running)
+		sim.run(5200 * time.Millisecond) // the first retries were granted more than a window ago, and sent half of one ago
+		interrupt(1+burst, 0)
+		So(retries(), ShouldBeLessThanOrEqualTo, burst)
+	})
+}
--- a/pkg/gateway/fleet_calls_test.go
+++ b/pkg/gateway/fleet_calls_test.go
@@ -58,6 +58,7 @@
 	id, key := d.nextCall, callKey(d, d.nextCall)
 	call.tries++
 	f.calls[key] = call
+	f.tried = append(f.tried, f.now)
 	f.feed(d, NewDispatchEvent(dispatch.NewArrived(dispatch.NewRequest(id, key, "pond", "/draft/x", "one").
 		WithModel(call.model, promptTokens[call.model], 140).WithTimeout(6*time.Second).WithContentHash(uint64(f.order)))))
 	f.after(fleetPatience, func() {
@@ -185,8 +186,14 @@
 	if f.onCall != nil {
 		f.onCall(d, e)
 	}
+	f.countArrival(callKey(d, send.ID()))
+	life := d.life
 	dispatched := func(after time.Duration, event dispatch.Event) {
-		f.after(after, func() { f.feed(d, NewDispatchEvent(event)) })
+		f.after(after, func() {
+			if d.life == life {
+				f.feed(d, NewDispatchEvent(event))
+			}
+		})
 	}
 	if e.stalled && call != nil && e.membership.Phase() == replica.PhaseOpen {
 		end()
@@ -199,11 +206,16 @@
 		dispatched(fleetLinkDelay, dispatch.NewFailed(send.Attempt(), dispatch.NotRun))
 		return
 	}
+	if f.random.Float64() < f.failing {
+		end()
+		dispatched(fleetErrorDelay, dispatch.NewFailed(send.Attempt(), dispatch.Errored))
+		return
+	}
 	e.running++
 	a := &fleetAttempt{
 		daemon: d, via: via, engine: e, call: call, id: send.Attempt(), stallTimeout: send.StallTimeout(), end: end,
 	}
-	key, life := attemptKey(d, a.id), d.life
+	key := attemptKey(d, a.id)
 	f.attempts[key] = a
 	service, _ := f.config().EngineService()
 	interval := service.Engine().EventInterval(f.model(call.model), e.running)
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -28,6 +29,13 @@
 	fleetRelayPort    = 7001
 )
 
+// The limits of the retries of the fleet.
+const (
+	fleetRetryRatio  = 0.2
+	fleetRetryBurst  = 696.0
+	fleetRetryWindow = 10 * time.Second
+)
+
 var (
 	fleetEpoch     = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	fleetConfigKey = object.NewKey("config", "main")
@@ -186,6 +194,11 @@
 	noRelays  bool
 	pick      func() *fleetDaemon              // selects the daemon of a call, nil for any
 	onCall    func(*fleetDaemon, *fleetEngine) // observes each call that reaches an engine, nil for none
+	burst     float64                          // of the retry budget, 0 for fleetRetryBurst
+	failing   float64                          // the share of the calls that engines answer with an error
+	tried     []time.Time                      // when daemons got the tries of calls
+	reached   map[string]bool                  // the tries that have reached an engine
+	repeated  []time.Time                      // when tries reached an engine that had reached one before
 }
 
 func newFleet(size fleetSize, traffic time.Duration) *fleet {
@@ -195,7 +208,7 @@
 		objects: map[string][]byte{fleetConfigKey.String(): []byte(`{"version":1}`)}, versions: map[string]int{fleetConfigKey.String(): 1},
 		revision: 1, silent: map[[2]string]bool{},
 		traffic: fleetEpoch.Add(traffic), era: 1, calls: map[string]*fleetCall{},
-		attempts: map[string]*fleetAttempt{},
+		attempts: map[string]*fleetAttempt{}, reached: map[string]bool{},
 	}
 	for i := range size.engines {
 		e := &fleetEngine{
@@ -260,7 +273,7 @@
 	settings := NewSettings(d.name, fmt.Sprintf("c%d", i%f.size.centres), fmt.Sprint(f.now.UnixNano()), uint64(i+1)).
 		WithAddresses(d.address, d.address).WithSeeds(f.daemons[0].address, f.daemons[1].address, f.daemons[2].address).
 		WithBootstrap(isFirst).WithResources(f.cores(i), f.cores(i)*250e6).WithConfig(fleetConfigKey, "version").WithRecord(fleetRecordKey).
-		WithRetryLimits(dispatch.NewRetryLimits(0.2, 696, 10*time.Second)).WithWatchWait(fleetWatchWait).WithRelayPort(fleetRelayPort).
+		WithRetryLimits(dispatch.NewRetryLimits(fleetRetryRatio, cmp.Or(f.burst, fleetRetryBurst), fleetRetryWindow)).WithWatchWait(fleetWatchWait).WithRelayPort(fleetRelayPort).
 		WithEvacuationGrace(f.size.grace)
 	f.feed(d, NewStarted(settings))
 	f.tick(d)
--- /dev/null
+++ b/pkg/gateway/retries_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fleetErrorDelay is how long an engine takes to answer with an error.
+const fleetErrorDelay = 20 * time.Millisecond
+
+// countArrival counts that a try of a call reached an engine.
+func (f *fleet) countArrival(try string) {
+	if f.reached[try] {
+		f.repeated = append(f.repeated, f.now)
+	}
+	f.reached[try] = true
+}
+
+// mostRepeats returns the number of retries in the window that exceeds the retry budget most, and how many it allows: for the requests in
+// the window itself, in the one before or in the one half a window before, whichever has most.
+func (f *fleet) mostRepeats() (repeats, allowed int) {
+	repeats, allowed = 0, int(f.burst)
+	for i, from := range f.repeated {
+		requests := 0
+		for _, before := range []time.Duration{0, fleetRetryWindow / 2, fleetRetryWindow} {
+			start := from.Add(-before)
+			requests = max(requests, countUntil(f.tried, start.Add(fleetRetryWindow))-countUntil(f.tried, start))
+		}
+		count := countUntil(f.repeated, from.Add(fleetRetryWindow)) - i
+		limit := int(fleetRetryRatio*float64(requests) + f.burst)
+		if count-limit > repeats-allowed {
+			repeats, allowed = count, limit
+		}
+	}
+	return repeats, allowed
+}
+
+// countUntil returns how many of times, in order, are before end.
+func countUntil(times []time.Time, end time.Time) int {
+	n, _ := slices.BinarySearchFunc(times, end, time.Time.Compare)
+	return n
+}
+
+// cutFromPeers separates a daemon from its peers, but not from the store and the engines.
+func (f *fleet) cutFromPeers(d *fleetDaemon, duration time.Duration) {
+	d.cut = true
+	f.closeLinks(d)
+	f.after(duration, func() { d.cut = false })
+}
+
+// some calls do for a share of the daemons.
+func (f *fleet) some(share float64, do func(*fleetDaemon)) {
+	for _, i := range f.random.Perm(len(f.daemons))[:int(share*float64(len(f.daemons)))] {
+		do(f.daemons[i])
+	}
+}
+
+// This guards against more retries of a fleet than its budget allows, as daemons that know few peers or have just started take too much of it.
+func TestRetriesOfFleetBeyondBudget(t *testing.T) {
+	const start = benchTraffic + 2*time.Second
+	restart := func(f *fleet, share float64, at ...time.Duration) {
+		for _, d := range at {
+			f.after(d, func() { f.some(share, f.restart) })
+		}
+	}
+	for _, test := range []struct {
+		name    string
+		calls   float64 // a second
+		disturb func(*fleet)
+	}{
+		{"most daemons are cut from their peers for longer than they remember them", 300, func(f *fleet) {
+			f.some(0.95, func(d *fleetDaemon) { f.cutFromPeers(d, 30*time.Second) })
+		}},
+		{"daemons start while they are cut from their peers", 300, func(f *fleet) {
+			f.some(0.6, func(d *fleetDaemon) {
+				f.cutFromPeers(d, 14*time.Second)
+				f.after(time.Second, func() { f.restart(d) })
+			})
+		}},
+		{"daemons are killed in series while there are few requests", 80, func(f *fleet) {
+			restart(f, 1, 4*time.Second, 7*time.Second, 10*time.Second)
+		}},
+		{"nothing else happens", 300, func(*fleet) {}},
+	} {
+		Convey(fmt.Sprintf("A fleet whose engines fail most calls keeps its retry budget when %s", test.name), t, func() {
+			f := newFleet(fleetSize{
+				daemons: 40, engines: 72, centres: 3, domain: 18, large: 8, small: 2, loadsPerSecond: 77, concurrentLoads: 115,
+				callsPerSecond: test.calls,
+			}, benchTraffic)
+			f.burst = 224
+			f.run(start)
+			f.failing = 0.7
+			test.disturb(f)
+			f.run(start + 22*time.Second)
+			repeats, allowed := f.mostRepeats()
+			Printf("\n%d retries in a window, %d allowed; %d of %d tries\n", repeats, allowed, len(f.repeated), len(f.tried))
+			So(len(f.repeated), ShouldBeGreaterThan, 0)
+			So(repeats, ShouldBeLessThanOrEqualTo, allowed)
+		})
+	}
+}
