dispatch: Count retries when they are sent

Callers of other daemons saw upstreams that got more retries in a window than the budget allows. Cause: a retry was charged when an attempt failed or was cancelled. Its call may wait for an upstream, up to its deadline if its stream has begun, and was sent in a window whose budget no longer contained it. A bucket was also dropped before its last retries were a window old. Change: a retry is reserved when it is granted, counts until it is sent, and from then on for a window. A call that ends returns it.

--- a/pkg/dispatch/budget.go
+++ b/pkg/dispatch/budget.go
@@ -9,9 +9,11 @@
 // the platform are not aligned.
 const budgetSafety = 0.8
 
-// budget limits the retries of one service over a sliding window.
+// budget limits the retries of one service over a sliding window. A retry is reserved when it is granted and counts until it is sent, since
+// it may wait for an upstream, and from then on for a window.
 type budget struct {
-	buckets []budgetBucket
+	buckets  []budgetBucket
+	reserved int // retries that were granted and not sent yet
 }
 
 // budgetBucket counts the requests and retries of one bucketWidth.
@@ -21,9 +23,9 @@
 	retries  int
 }
 
-// bucket returns the current bucket, and drops those that are older than the window.
+// bucket returns the current bucket, and drops those that ended before the window.
 func (b *budget) bucket(at time.Time, window time.Duration) *budgetBucket {
-	for len(b.buckets) > 0 && at.Sub(b.buckets[0].start) > window {
+	for len(b.buckets) > 0 && at.Sub(b.buckets[0].start) > window+bucketWidth {
 		b.buckets = b.buckets[1:]
 	}
 	if n := len(b.buckets); n == 0 || at.Sub(b.buckets[n-1].start) >= bucketWidth {
@@ -38,10 +40,12 @@
 // remaining returns the number of retries left. While the number of peers is unknown, there is no share of the burst.
 func (b *budget) remaining(at time.Time, limits RetryLimits, peers int) float64 {
 	b.bucket(at, limits.window)
-	requests, retries := 0, 0
+	requests, retries := 0, b.reserved
 	for _, bucket := range b.buckets {
-		requests += bucket.requests
 		retries += bucket.retries
+		if at.Sub(bucket.start) <= limits.window { // all of the bucket is within the window
+			requests += bucket.requests
+		}
 	}
 	allowed := limits.ratio * float64(requests)
 	if peers > 0 {
@@ -50,15 +54,24 @@
 	return budgetSafety*allowed - float64(retries)
 }
 
-// takeRetry takes a retry from the budget, and reports whether one was left.
-func (b *budget) takeRetry(at time.Time, limits RetryLimits, peers int) bool {
+// reserve grants a retry, and reports whether one was left. It must be followed by spend or release.
+func (b *budget) reserve(at time.Time, limits RetryLimits, peers int) bool {
 	if b.remaining(at, limits, peers) < 1 {
 		return false
 	}
-	b.bucket(at, limits.window).retries++
+	b.reserved++
 	return true
 }
 
+// spend counts a reserved retry as sent.
+func (b *budget) spend(at time.Time, limits RetryLimits) {
+	b.reserved--
+	b.bucket(at, limits.window).retries++
+}
+
+// release returns a reserved retry that is not sent.
+func (b *budget) release() { b.reserved-- }
+
 // RetryLimits limit the retries of all daemons together.
 type RetryLimits struct {
 	ratio  float64
@@ -70,3 +83,27 @@
 func NewRetryLimits(ratio, burst float64, window time.Duration) RetryLimits {
 	return RetryLimits{ratio, burst, window}
 }
+
+// reserveRetry reports whether the budget grants the next send of a call, or has granted it before.
+func (s *State) reserveRetry(now time.Time, c *call) bool {
+	if !c.hasReservedRetry {
+		c.hasReservedRetry = s.budget(c.service).reserve(now, s.settings.retries, s.budgetPeers)
+	}
+	return c.hasReservedRetry
+}
+
+// spendRetry counts the retry that was reserved for a call, if any, since the call is sent.
+func (s *State) spendRetry(now time.Time, c *call) {
+	if c.hasReservedRetry {
+		c.hasReservedRetry = false
+		s.budget(c.service).spend(now, s.settings.retries)
+	}
+}
+
+// releaseRetry returns the retry that was reserved for a call, if any, since the call ends.
+func (s *State) releaseRetry(c *call) {
+	if c.hasReservedRetry {
+		c.hasReservedRetry = false
+		s.budget(c.service).release()
+	}
+}
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -90,7 +90,7 @@
 	tried            []string // upstreams
 	hasPartialAnswer bool     // the caller may have a part of the response
 	lastEventID      string   // last event that the caller received
-	isRetryCounted   bool     // the retry budget already counts the next send
+	hasReservedRetry bool     // the next send uses a retry that the budget has granted
 	queuedAt         time.Time
 	deniedShards     []Shard     // whose owners denied a slot
 	hasSlot          bool        // the next send uses a granted slot
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -70,6 +70,7 @@
 func (s *State) finish(now time.Time, c *call, decision, upstream, reason string) {
 	delete(s.calls, c.id)
 	s.dequeue(c)
+	s.releaseRetry(c)
 	s.note(now, c, decision, upstream, reason, Inputs{waiting: len(s.queue)})
 }
 
@@ -141,10 +142,9 @@
 		s.giveUp(now, c, AttemptsExhausted, 0)
 	case c.runs > 0 && !c.route.Retryable(), c.runs >= c.route.MaxAttempts(), c.sends >= maxSends:
 		s.giveUp(now, c, AttemptsExhausted, s.retryAfter(now, up, c))
-	case !c.isRetryCounted && c.arrivals > 0 && !s.budget(c.service).takeRetry(now, s.settings.retries, s.budgetPeers):
+	case c.arrivals > 0 && !s.reserveRetry(now, c):
 		s.giveUp(now, c, RetryBudgetSpent, s.retryAfter(now, up, c))
 	default:
-		c.isRetryCounted = false
 		s.place(now, up, c)
 	}
 }
@@ -243,10 +243,10 @@
 		return
 	}
 	isAllowed := c.route.Retryable() && c.runs+1 < c.route.MaxAttempts() && c.sends < maxSends
-	if a.isCancelled || !isAllowed || !s.budget(c.service).takeRetry(now, s.settings.retries, s.budgetPeers) {
+	if a.isCancelled || !isAllowed || !s.reserveRetry(now, c) {
 		return
 	}
-	a.isCancelled, c.isRetryCounted = true, true
+	a.isCancelled = true
 	s.emit(Cancel{a.id})
 }
 
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -165,6 +165,7 @@
 		promptTime: s.promptTime(c, best), hasSlot: c.hasSlot, isDirect: way.IsDirect(),
 	}
 	c.hasSlot = false
+	s.spendRetry(now, c)
 	s.attempts[a.id] = a
 	best.upstream.begin(now, c.promptTokens)
 	s.markUnreported(a, best.target.name)
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -171,13 +171,14 @@
 		limits := NewRetryLimits(0.2, 100, 10*time.Second)
 		peers, sent := 7, 0
 		for range 100 {
-			if b.takeRetry(epoch, limits, peers) {
+			if b.reserve(epoch, limits, peers) {
+				b.spend(epoch, limits)
 				sent++
 			}
 		}
 		So(float64(sent*peers), ShouldBeLessThanOrEqualTo, 100)
 		So(sent, ShouldBeGreaterThan, 0)
-		So(b.takeRetry(epoch.Add(11*time.Second), limits, peers), ShouldBeTrue)
+		So(b.reserve(epoch.Add(11*time.Second), limits, peers), ShouldBeTrue)
 	})
 }
 
@@ -312,3 +313,17 @@
 		So(retries(), ShouldBeLessThanOrEqualTo, burst)
 	})
 }
+
+func TestRetryThatIsNotSent(t *testing.T) {
+	Convey("A retry that was granted and not sent returns to the budget when its call ends", t, func() {
+		sim := newSimulation(2, 1)
+		sim.arrive(1, "large", "/draft/x")
+		sim.run(200 * time.Millisecond)
+		first := sim.onlyAttempt()
+		before := sim.state.RetriesLeft(sim.now, "engines")
+		sim.state.Reduce(sim.now, sim, NewReplicaBroken(first.Upstream()))
+		So(sim.state.RetriesLeft(sim.now, "engines"), ShouldEqual, before-1)
+		sim.feed(NewCompleted(first.Attempt())) // before it was cancelled
+		So(sim.state.RetriesLeft(sim.now, "engines"), ShouldEqual, before)
+	})
+}
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -38,7 +38,7 @@
 		sim := newSimulation(3, 1)
 		left := sim.state.RetriesLeft(sim.now, "desk")
 		for range int(left) {
-			sim.state.budget("desk").takeRetry(sim.now, sim.state.settings.retries, 1)
+			sim.state.budget("desk").reserve(sim.now, sim.state.settings.retries, 1)
 		}
 		failures := 2
 		sim.failWith = func(Send) Failure {
@@ -57,7 +57,7 @@
 	Convey("A request that may have arrived is not, if the budget is spent", t, func() {
 		sim := newSimulation(3, 1)
 		for range int(sim.state.RetriesLeft(sim.now, "desk")) {
-			sim.state.budget("desk").takeRetry(sim.now, sim.state.settings.retries, 1)
+			sim.state.budget("desk").reserve(sim.now, sim.state.settings.retries, 1)
 		}
 		sim.failWith = func(Send) Failure { return NotRun }
 		sim.arrive(1, "large", "/read/x")
