gateway: Take no share of the retry burst for a window after a start

Cause: a daemon that is killed forgets the retries that it sent, and took its share of the burst once more 1.5 s after its start. Change: it has no share until it has run for a window of the budget; the share of its requests it has at once, as those of its earlier start are forgotten too. Evidence: TestRetriesOfFleetBeyondBudget, all of 40 daemons killed three times at 80 calls a second: 532 retries in a window of 476 allowed before, 319 of 475 now.

--- a/pkg/gateway/retrysharers.go
+++ b/pkg/gateway/retrysharers.go
@@ -66,7 +66,7 @@
 	}
 	r.forget(now, ttl)
 	count := 0
-	if now.Sub(s.members.startedAt) >= minLeaderUptime {
+	if now.Sub(s.members.startedAt) >= s.settings.retryLimits.Window() { // an earlier start of this daemon may have used its share before
 		count = len(r.byName)
 	}
 	if r.isReported && count == r.count {
