gateway: Take no share of the retry burst before seeds were met

Cause: a daemon that starts while it is cut off from its peers knows none, so the whole burst seemed to be its own. Change: a daemon gets no share until it has met half of the peers that it contacts first, which only one side of a cut can; seeds that were never live in five minutes are taken for gone. Its share of its own requests does not depend on that.

--- a/pkg/gateway/retrysharers.go
+++ b/pkg/gateway/retrysharers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
@@ -9,15 +10,17 @@
 
 // The times and shares by which the sharers of the retry budget are counted.
 const (
-	retrySharerWindows = 1.5  // of the retry budget, for which a daemon counts that is no longer live, since it may have sent retries before
-	minLiveSharers     = 0.75 // of the known sharers; with fewer, this daemon may be cut off from the others
+	retrySharerWindows = 1.5             // of the retry budget, for which a daemon counts that is no longer live, since it may have sent retries before
+	minLiveSharers     = 0.75            // of the known sharers; with fewer, this daemon may be cut off from the others
+	maxSeedWait        = 5 * time.Minute // after which the seeds that were never live are taken for gone
 )
 
 // retrySharers are the daemons among which the burst of the retry budget is divided. A daemon that is cut off from the others keeps counting
 // them, as they may go on sending retries.
 type retrySharers struct {
 	byName     map[string]retrySharer
-	count      int // as last reported
+	metSeeds   map[string]bool // addresses of the peers to contact first that were live since the start
+	count      int             // as last reported
 	isReported bool
 }
 
@@ -56,17 +59,34 @@
 	}
 }
 
+// meetSeed records that a daemon at an address is live that is one of the peers to contact first.
+func (r *retrySharers) meetSeed(address string, seeds []string) {
+	if slices.Contains(seeds, address) {
+		if r.metSeeds == nil {
+			r.metSeeds = map[string]bool{}
+		}
+		r.metSeeds[address] = true
+	}
+}
+
+// hasMet reports whether at least half of the seeds were met, or have been away for too long. Before that, this daemon may have started while
+// it is cut off from daemons that it does not know.
+func (r *retrySharers) hasMet(seeds []string, uptime time.Duration) bool {
+	return 2*len(r.metSeeds) >= len(seeds) || uptime >= maxSeedWait
+}
+
 // countRetrySharers reports to pkg/dispatch among how many daemons the burst of the retry budget is divided, 0 while that is unknown.
 func (s *State) countRetrySharers(now time.Time, fresh []peer.Member) {
-	r := &s.retrySharers
-	ttl := time.Duration(retrySharerWindows * float64(s.settings.retryLimits.Window()))
+	r, window, seeds := &s.retrySharers, s.settings.retryLimits.Window(), s.settings.seeds
 	r.see(now, s.members.self, false)
+	r.meetSeed(s.settings.peerAddress, seeds)
 	for _, member := range fresh {
 		r.see(now, member.Name(), member.Leaving())
+		r.meetSeed(member.Address(), seeds)
 	}
-	r.forget(now, ttl)
-	count := 0
-	if now.Sub(s.members.startedAt) >= s.settings.retryLimits.Window() { // an earlier start of this daemon may have used its share before
+	r.forget(now, time.Duration(retrySharerWindows*float64(window)))
+	count, uptime := 0, now.Sub(s.members.startedAt)
+	if uptime >= window && r.hasMet(seeds, uptime) { // an earlier start of this daemon may have used its share before
 		count = len(r.byName)
 	}
 	if r.isReported && count == r.count {
--- a/pkg/gateway/retrysharers_test.go
+++ b/pkg/gateway/retrysharers_test.go
@@ -49,3 +49,18 @@
 		})
 	})
 }
+
+func TestRetrySharersOfDaemonThatStartsWhileCut(t *testing.T) {
+	Convey("A daemon gets no share of the burst before it has met half of the daemons that it contacts first", t, func() {
+		seeds := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+		var r retrySharers
+		r.meetSeed("10.0.0.9:1", seeds)
+		r.meetSeed("10.0.0.1:1", seeds)
+		r.meetSeed("10.0.0.1:1", seeds)
+		So(r.hasMet(seeds, time.Minute), ShouldBeFalse)
+		So(r.hasMet(seeds, 5*time.Minute), ShouldBeTrue)
+		r.meetSeed("10.0.0.3:1", seeds)
+		So(r.hasMet(seeds, time.Minute), ShouldBeTrue)
+		So(r.hasMet(nil, time.Minute), ShouldBeTrue)
+	})
+}
