platform: Skip entries that can't be read without hiding the others

Daemons stopped following the list of upstreams when another writer left an odd entry in it. Cause: a page, and the answer to a watch, were parsed as a whole, and encoding/json refuses all of it if one value is nested deeper than 10,000; the next page was asked for by the name of the last entry, whose metadata had to be readable as a whole. The same in the watch of the configuration and of evacuations, in one configuration, in its revision (pkg/peer), and in the instance list of internal/platform. Change: pkg/jsontext splits arrays and objects without parsing their values.

--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/azurepond/azurepond/pkg/instance"
+	"github.com/azurepond/azurepond/pkg/jsontext"
 )
 
 // The labels, the resource and the address type of a node in the instance list.
@@ -22,12 +23,9 @@
 	internalAddressType = "InternalIP"
 )
 
-// nodeListWire is a Kubernetes NodeList.
+// nodeListWire is the metadata of a Kubernetes NodeList.
 type nodeListWire struct {
-	Metadata struct {
-		ResourceVersion string `json:"resourceVersion"`
-	} `json:"metadata"`
-	Items []nodeWire `json:"items"`
+	ResourceVersion string `json:"resourceVersion"`
 }
 
 type nodeWire struct {
@@ -50,7 +48,7 @@
 }
 
 // Instances returns the instance list in the order of the platform, and its revision, which increases with each change.
-// Instances without a name, address, port or number of accelerators are skipped.
+// Instances without a name, address, valid port or number of accelerators are skipped, as are entries that can't be read.
 func (c *Client) Instances(ctx context.Context) (revision uint64, instances []instance.Instance, err error) {
 	result := c.call(ctx, http.MethodGet, instancesPath, nil, maxListBytes)
 	if result.err != nil {
@@ -59,15 +57,29 @@
 	if result.status != http.StatusOK {
 		return 0, nil, trace.ConnectionProblem(nil, "cannot read the instance list: %s", result.reason())
 	}
+	fields, err := jsontext.Fields(result.body)
+	if err != nil {
+		return 0, nil, trace.BadParameter("malformed instance list: %v", err)
+	}
 	var list nodeListWire
-	if err := json.Unmarshal(result.body, &list); err != nil {
+	if err := json.Unmarshal(fields["metadata"], &list); err != nil {
 		return 0, nil, trace.BadParameter("malformed instance list: %v", err)
 	}
-	if revision, err = strconv.ParseUint(list.Metadata.ResourceVersion, 10, 64); err != nil {
+	if revision, err = strconv.ParseUint(list.ResourceVersion, 10, 64); err != nil {
 		return 0, nil, trace.BadParameter("instance list without a numeric resource version: %v", err)
 	}
-	instances = make([]instance.Instance, 0, len(list.Items))
-	for _, node := range list.Items {
+	var items []json.RawMessage
+	if raw := fields["items"]; raw != nil && string(raw) != "null" {
+		if items, err = jsontext.Elements(raw); err != nil {
+			return 0, nil, trace.BadParameter("malformed instance list: %v", err)
+		}
+	}
+	instances = make([]instance.Instance, 0, len(items))
+	for _, item := range items {
+		var node nodeWire
+		if json.Unmarshal(item, &node) != nil {
+			continue
+		}
 		if decoded, valid := decodeInstance(node); valid {
 			instances = append(instances, decoded)
 		}
@@ -82,7 +94,7 @@
 		return instance.Instance{}, false
 	}
 	host, port := nodeHost(node), labels[portLabel]
-	if host == "" || port == "" || node.Metadata.Name == "" {
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 || host == "" || node.Metadata.Name == "" {
 		return instance.Instance{}, false
 	}
 	id := instance.ID(node.Metadata.Name)
--- a/pkg/gateway/event.go
+++ b/pkg/gateway/event.go
@@ -68,6 +68,9 @@
 	era       uint64 // of the store
 }
 
+// Upstreams returns the upstreams of the list, or those that changed.
+func (l Listed) Upstreams() []Upstream { return l.upstreams }
+
 // WithEra returns the event with the era of the store, 0 if unknown.
 func (l Listed) WithEra(era uint64) Listed {
 	l.era = era
--- a/pkg/peer/store.go
+++ b/pkg/peer/store.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/jsontext"
 	"github.com/azurepond/azurepond/pkg/object"
 )
 
@@ -202,12 +203,12 @@
 
 // revisionIn returns the number in a top-level field of a JSON object.
 func revisionIn(data []byte, field string) (uint64, bool) {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(data, &fields) != nil {
+	fields, err := jsontext.Fields(data)
+	if err != nil {
 		return 0, false
 	}
 	var number uint64
-	err := json.Unmarshal(fields[field], &number)
+	err = json.Unmarshal(fields[field], &number)
 	return number, err == nil && number > 0
 }
 
