replica: Drop recorded replicas without members

Cause: a group without members in the record was decoded as an empty one, and the leader then asks for its first member and panics. Change: such a group is dropped when the record is decoded. Evidence: TestRecordWithoutMembersPanics found three groups before, and finds the one that has members.

--- a/pkg/replica/record.go
+++ b/pkg/replica/record.go
@@ -82,7 +82,7 @@
 	return data, trace.Wrap(err)
 }
 
-// decodeRecord decodes a record. Empty data is an empty record.
+// decodeRecord decodes a record without its replicas that have no members. Empty data is an empty record.
 func decodeRecord(data []byte) (record, error) {
 	if len(data) == 0 {
 		return record{}, nil
@@ -97,7 +97,9 @@
 		for _, m := range one.Members {
 			g.members = append(g.members, member{ID(m.ID), m.Born})
 		}
-		r.groups = append(r.groups, g)
+		if len(g.members) > 0 {
+			r.groups = append(r.groups, g)
+		}
 	}
 	return r, nil
 }
