dispatch: Refuse plain calls that a stopping daemon can't finish

A stopping daemon accepted calls of plain services whatever they may take, and answered those that ran at the end with 502, among them calls that must not be repeated. Cause: the time that such a call is expected to take was 0. Change: it is the slowest answer of its service within the last minute or two. Calls that must not be repeated are refused as not run if twice that exceeds the time left, or if no answer was seen. Callers that follow the address list meet no refusal while answers are fast.

--- a/pkg/dispatch/shutdown.go
+++ b/pkg/dispatch/shutdown.go
@@ -38,13 +38,25 @@
 	if !c.deadline.After(s.shutdown.lastAnswer()) {
 		return false
 	}
-	return !now.Before(s.shutdown.callersLeave) || s.expectedSeconds(c) > s.shutdown.lastAnswer().Sub(now).Seconds()
+	expected := s.expectedSeconds(c)
+	if !c.route.Retryable() {
+		expected *= unrepeatableMargin
+	}
+	return !now.Before(s.shutdown.callersLeave) || expected > s.shutdown.lastAnswer().Sub(now).Seconds()
 }
 
-// expectedSeconds returns how long a call takes at most at a replica that is full but not slow, 0 for a call of a plain service.
+// unrepeatableMargin is the factor on the expected time of a call that its caller could not repeat if it was cut.
+const unrepeatableMargin = 2
+
+// expectedSeconds returns how long a call takes at most: at a replica that is full but not slow, or at a plain service, whose slowest answer of
+// late counts. A call that must not be repeated may take until its deadline if no answer was seen.
 func (s *State) expectedSeconds(c *call) float64 {
 	if !s.isModelCall(c) {
-		return 0
+		slowest := s.slowestAnswers[c.service].longest()
+		if slowest == 0 && !c.route.Retryable() {
+			slowest = c.deadline.Sub(c.arrived)
+		}
+		return slowest.Seconds()
 	}
 	engine, model := s.engineOf(c)
 	return engine.Read(model, c.promptTokens).Seconds() + engine.StepTime(model, engine.Slots()).Seconds()*float64(c.outputTokens)
@@ -70,3 +82,23 @@
 		}
 	}
 }
+
+// slowestWindow is the time after which the slowest answer of a plain service is measured anew.
+const slowestWindow = time.Minute
+
+// slowestAnswer is the time of the slowest answer of a plain service within one to two windows.
+type slowestAnswer struct {
+	since             time.Time
+	current, previous time.Duration
+}
+
+// with returns the measurement with an answer that took d.
+func (a slowestAnswer) with(now time.Time, d time.Duration) slowestAnswer {
+	if now.Sub(a.since) >= slowestWindow {
+		a = slowestAnswer{since: now, previous: a.current}
+	}
+	a.current = max(a.current, d)
+	return a
+}
+
+func (a slowestAnswer) longest() time.Duration { return max(a.current, a.previous) }
--- a/pkg/dispatch/shutdown_test.go
+++ b/pkg/dispatch/shutdown_test.go
@@ -56,6 +56,64 @@
 	})
 }
 
+func TestShutdownCutsPlainCalls(t *testing.T) {
+	Convey("Given a daemon that serves calls of a plain service which may take a minute", t, func() {
+		sim := newSimulation(2, 1)
+		long := func(name string, kind route.Kind) route.Route {
+			return route.NewRoute(name, "pond", "/"+name+"/", kind).WithTimes(time.Minute, callGoal, 0).WithMaxAttempts(2).
+				WithSplit(route.NewWeightedService("desk", 1))
+		}
+		sim.feed(NewConfigured(sim.state.config.WithRoutes(long("long-read", route.Idempotent), long("long-issue", route.Once))))
+		arrive := func(id ID, path string) {
+			sim.feed(NewArrived(NewRequest(id, "", "pond", path, "large").WithTimeout(time.Minute)))
+		}
+
+		Convey("one that must not be repeated is refused as not run if no answer was seen, and one with an early deadline is sent", func() {
+			sim.beginShutdown()
+			arrive(1, "/long-issue/x")
+			So(sim.refused[1], ShouldBeTrue)
+			So(sim.sends[1], ShouldEqual, 0)
+			sim.arrive(2, "large", "/issue/x")
+			So(sim.sends[2], ShouldEqual, 1)
+		})
+
+		Convey("one that must not be repeated is refused if an answer took more than half of the time that the daemon has", func() {
+			arrive(1, "/long-read/x")
+			first := sim.state.calls[1].attempt
+			sim.timers = nil
+			sim.now = sim.now.Add(shutdownTime / 2)
+			sim.feed(NewCompleted(first.id))
+			sim.beginShutdown()
+			arrive(2, "/long-issue/x")
+			So(sim.refused[2], ShouldBeTrue)
+			arrive(3, "/long-read/x")
+			So(sim.sends[3], ShouldEqual, 1)
+		})
+
+		Convey("one that may be repeated is refused if such calls have taken longer than the daemon has, and else is sent", func() {
+			arrive(1, "/long-read/x")
+			first := sim.state.calls[1].attempt
+			sim.timers = nil
+			sim.now = sim.now.Add(shutdownTime)
+			sim.feed(NewCompleted(first.id))
+			sim.beginShutdown()
+			arrive(2, "/long-read/x")
+			So(sim.refused[2], ShouldBeTrue)
+			sim.arrive(3, "large", "/read/x")
+			So(sim.sends[3], ShouldEqual, 1)
+		})
+
+		Convey("any is sent while such calls are fast", func() {
+			arrive(1, "/long-read/x")
+			sim.run(callTime + tickInterval)
+			sim.beginShutdown()
+			arrive(2, "/long-read/x")
+			arrive(3, "/long-issue/x")
+			So(sim.sends[2]+sim.sends[3], ShouldEqual, 2)
+		})
+	})
+}
+
 func TestShutdownLeavesWaitingCallsUnanswered(t *testing.T) {
 	Convey("A stream that waits for a slot when it may outlast the daemon is refused as not run", t, func() {
 		sim := newSimulation(1, 1)
