caller, daemon: Answer all calls of a stopping daemon before it ends

A stopping daemon of this stack accepted calls for three seconds whatever their deadline, and five seconds after its grace period closed the connections of those that ran, among them calls that must not be repeated. Cause: the reducer did not know when the process ends. Change: it does. A call is rejected as not run, when it arrives or when its turn comes, if its deadline is after the end and it is expected to take longer; the limit is stricter for calls that must not be repeated. At the end, calls that wait are rejected as not run, and those that run are answered as ones that may have run, and cancelled.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// cancelAttempts cancels the contexts of all attempts.
+func (x *exchange) cancelAttempts() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	for _, cancel := range x.cancels {
+		cancel()
+	}
+}
+
 // endAttempt releases the context of an attempt.
 func (x *exchange) endAttempt(attempt attemptID) {
 	x.mutex.Lock()
--- a/internal/callers/execute.go
+++ b/internal/callers/execute.go
@@ -1,6 +1,9 @@
 package callers
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/azurepond/azurepond/pkg/caller"
 	"github.com/azurepond/azurepond/pkg/engine"
 )
@@ -22,6 +25,20 @@
 	}
 }
 
+// EndCalls answers all calls that have not ended as ones that may have run, and cancels their attempts, since the process ends.
+func (s *Server) EndCalls() {
+	s.mutex.Lock()
+	exchanges := slices.Collect(maps.Values(s.exchanges))
+	s.mutex.Unlock()
+	for _, x := range exchanges {
+		select {
+		case x.commands <- finishCommand{caller.NewUnknown(caller.DaemonStopping)}:
+		default: // the handler is far behind, and its connection is closed without an answer
+		}
+		x.cancelAttempts()
+	}
+}
+
 // modelAttemptID returns the ID of an attempt at an engine among all attempts of this daemon.
 func modelAttemptID(a engine.AttemptID) attemptID { return attemptID{caller.Model, uint64(a)} }
 
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -164,6 +164,8 @@
 			if reject, isReject := effect.Effect().(caller.Reject); isReject {
 				h.server.Reject(reject)
 			}
+		case reducer.EndCalls:
+			h.server.EndCalls()
 		case reducer.EngineEffect:
 			if _, isSend := effect.Effect().(engine.Send); isSend {
 				h.sendCount++
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -29,6 +29,9 @@
 		fleet := effect.Fleet()
 		d.fleet.Store(&fleet)
 		klog.InfoS("daemon: Configuration applied", "revision", uint64(fleet.Revision()))
+	case reducer.EndCalls:
+		klog.InfoS("daemon: Grace period is over; ending running calls", "running", d.callers.ActiveCalls())
+		d.callers.EndCalls()
 	case reducer.Stopped:
 		d.stopOnce.Do(func() { close(d.stopped) })
 	case reducer.CallerEffect:
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,6 +17,9 @@
 // shutdownTimeout limits the wait for an HTTP server to close its connections.
 const shutdownTimeout = 5 * time.Second
 
+// finalAnswerTime is the time after the grace period in which the calls that still run are ended and answered.
+const finalAnswerTime = time.Second
+
 // serve runs an HTTP server as part of group until ctx ends.
 func serve(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
 	group.Go(func() error {
@@ -50,15 +53,16 @@
 	case <-ctx.Done():
 	}
 	klog.InfoS("daemon: Stopping", "running", d.callers.ActiveCalls())
-	_ = d.loop.feed(reducer.NewStopping())
-	grace := time.NewTimer(d.settings.Timings().GracePeriod())
-	defer grace.Stop()
+	gracePeriod := d.settings.Timings().GracePeriod()
+	_ = d.loop.feed(reducer.NewStopping(gracePeriod))
+	end := time.NewTimer(gracePeriod + finalAnswerTime)
+	defer end.Stop()
 	select {
 	case <-serving.Done():
 	case <-d.stopped:
 		klog.InfoS("daemon: Stopped")
-	case <-grace.C:
-		klog.InfoS("daemon: Grace period is over; cancelling running calls", "running", d.callers.ActiveCalls())
+	case <-end.C:
+		klog.InfoS("daemon: Stopped with calls in progress", "running", d.callers.ActiveCalls())
 	}
 	d.cancel()
 	return nil
--- a/pkg/caller/admission.go
+++ b/pkg/caller/admission.go
@@ -53,7 +53,11 @@
 		return NewNotRun(NoReplica, noReplicaRetryAfter), true
 	}
 	q := t.queue(call.organisation)
-	if s.missesDeadline(now, t, call, s.estimatedWait(t, q, q.ahead(call.priority))) {
+	wait := s.estimatedWait(t, q, q.ahead(call.priority))
+	if s.mayOutlastStop(now, t, call, wait) {
+		return NewNotRun(DaemonStopping, stoppingRetryAfter), true
+	}
+	if s.missesDeadline(now, t, call, wait) {
 		return NewNotRun(Overload, s.retryAfter(t, q, call)), true
 	}
 	return NotRun{}, false
@@ -111,6 +115,11 @@
 			effects = append(effects, s.rejectLate(t, q, c))
 			continue
 		}
+		if s.mayOutlastStop(now, t, c.call, 0) {
+			delete(s.calls, c.call.id)
+			effects = append(effects, Reject{c.call.id, NewNotRun(DaemonStopping, stoppingRetryAfter)})
+			continue
+		}
 		c.dispatchedAt = now
 		q.running++
 		t.running++
--- a/pkg/caller/effect.go
+++ b/pkg/caller/effect.go
@@ -1,6 +1,6 @@
 package caller
 
-// Effect is an action for a driver or another package: Dispatch, Reject, Cancel, ReportUsage or CompleteStop.
+// Effect is an action for a driver or another package: Dispatch, Reject, Cancel, ReportUsage, EndCalls or CompleteStop.
 type Effect interface{ isEffect() }
 
 // Dispatch runs a call on an engine or a service.
@@ -39,6 +39,9 @@
 // Usages returns the usage of each organisation at this daemon, sorted by target and organisation.
 func (r ReportUsage) Usages() []Usage { return r.usages }
 
+// EndCalls gives the callers of all running calls their final answers, since the process ends. Cancel follows for each of these calls.
+type EndCalls struct{}
+
 // CompleteStop completes a planned stop: no caller has the address in its cache and no call runs or waits.
 type CompleteStop struct{}
 
@@ -50,4 +53,6 @@
 
 func (ReportUsage) isEffect() {}
 
+func (EndCalls) isEffect() {}
+
 func (CompleteStop) isEffect() {}
--- a/pkg/caller/event.go
+++ b/pkg/caller/event.go
@@ -1,7 +1,9 @@
 package caller
 
+import "time"
+
 // Event is an input of State.Reduce: Configured, Arrived, Finished, Disconnected, UsageReported, PeersChanged,
-// CapacityChanged, StopRequested, StopCancelled or Ticked.
+// CapacityChanged, StopRequested, StopScheduled, StopCancelled or Ticked.
 type Event interface{ isEvent() }
 
 // Configured replaces the settings.
@@ -66,6 +68,12 @@
 // NewStopRequested returns the event that starts a planned stop.
 func NewStopRequested() StopRequested { return StopRequested{} }
 
+// StopScheduled limits the planned stop of this daemon, whose process ends afterwards.
+type StopScheduled struct{ ends time.Time }
+
+// NewStopScheduled returns the event that the process ends shortly after ends, by when all calls must have their answers.
+func NewStopScheduled(ends time.Time) StopScheduled { return StopScheduled{ends} }
+
 // StopCancelled cancels the planned stop of this daemon.
 type StopCancelled struct{}
 
@@ -94,6 +102,8 @@
 
 func (StopRequested) isEvent() {}
 
+func (StopScheduled) isEvent() {}
+
 func (StopCancelled) isEvent() {}
 
 func (Ticked) isEvent() {}
--- a/pkg/caller/latency.go
+++ b/pkg/caller/latency.go
@@ -39,6 +39,12 @@
 // lowerBound returns a time that most calls exceed.
 func (a *average) lowerBound() time.Duration { return seconds(max(a.mean-a.deviation, 0)) }
 
+// upperBound returns a time that few calls exceed.
+func (a *average) upperBound() time.Duration { return seconds(a.mean + upperDeviations*a.deviation) }
+
+// upperDeviations is how many mean deviations above the mean few calls are.
+const upperDeviations = 3
+
 func (l *latencyStats) add(tokens int, elapsed time.Duration) {
 	l.overall.add(elapsed.Seconds())
 	l.byTokens[latencyClass(tokens)].add(elapsed.Seconds())
@@ -53,6 +59,15 @@
 	return class.lowerBound()
 }
 
+// upperBound returns a time that few calls with this limit of tokens exceed, 0 without samples.
+func (l *latencyStats) upperBound(tokens int) time.Duration {
+	class := &l.byTokens[latencyClass(tokens)]
+	if class.samples == 0 {
+		return 0
+	}
+	return class.upperBound()
+}
+
 // mean returns the mean time of all calls, 0 without samples.
 func (l *latencyStats) mean() time.Duration { return seconds(l.overall.mean) }
 
--- a/pkg/caller/session_test.go
+++ b/pkg/caller/session_test.go
@@ -66,6 +66,12 @@
 		return NewCapacityChanged(words[0], p.count(words[1]))
 	case "stop-requested":
 		return NewStopRequested()
+	case "stop-scheduled":
+		ends, err := time.ParseDuration(words[0])
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		return NewStopScheduled(now.Add(ends))
 	case "stop-cancelled":
 		return NewStopCancelled()
 	case "tick":
@@ -145,5 +151,8 @@
 		}
 		return strings.Join(words, " ")
 	}
+	if _, isEnd := effect.(EndCalls); isEnd {
+		return "end-calls"
+	}
 	return "complete-stop"
 }
--- a/pkg/caller/state.go
+++ b/pkg/caller/state.go
@@ -50,6 +50,8 @@
 		return s.resize(now, e)
 	case StopRequested:
 		return s.startStop(now)
+	case StopScheduled:
+		s.stop.ends = e.ends
 	case StopCancelled:
 		s.stop = stop{}
 		return nil
@@ -128,6 +130,7 @@
 	if s.rounds.isDue(now) {
 		effects = append(effects, s.allocate(now)...)
 	}
+	effects = append(effects, s.endCalls(now)...)
 	effects = append(effects, s.dispatchAll(now)...)
 	return append(effects, s.completeStop(now)...)
 }
--- a/pkg/reducer/components.go
+++ b/pkg/reducer/components.go
@@ -28,6 +28,8 @@
 		s.reduceService(service.NewCancelled(effect.ID()))
 	case caller.ReportUsage:
 		s.reducePeer(usageFact(s.now, effect))
+	case caller.EndCalls:
+		s.emit(EndCalls{})
 	case caller.CompleteStop:
 		if s.stopping {
 			s.emit(Stopped{})
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -10,7 +10,7 @@
 	"github.com/azurepond/azurepond/pkg/service"
 )
 
-// Effect is an action that a driver executes: Store, ListInstances, Reconfigured, Stopped, or a wrapped effect of another
+// Effect is an action that a driver executes: Store, ListInstances, Reconfigured, EndCalls, Stopped, or a wrapped effect of another
 // package.
 type Effect interface{ isEffect() }
 
@@ -46,6 +46,9 @@
 // Fleet returns the active configuration.
 func (r Reconfigured) Fleet() operator.Fleet { return r.fleet }
 
+// EndCalls tells the driver to give the callers of all running calls their final answers, since the process ends.
+type EndCalls struct{}
+
 // Stopped tells the driver that the graceful shutdown is complete and the process may exit.
 type Stopped struct{}
 
@@ -91,6 +94,8 @@
 
 func (Reconfigured) isEffect() {}
 
+func (EndCalls) isEffect() {}
+
 func (Stopped) isEffect() {}
 
 func (CallerEffect) isEffect() {}
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	"github.com/azurepond/azurepond/pkg/caller"
 	"github.com/azurepond/azurepond/pkg/engine"
 	"github.com/azurepond/azurepond/pkg/instance"
@@ -43,10 +45,10 @@
 }
 
 // Stopping reports that a graceful shutdown of this daemon begins.
-type Stopping struct{}
+type Stopping struct{ grace time.Duration }
 
-// NewStopping returns the event that a graceful shutdown of this daemon begins.
-func NewStopping() Stopping { return Stopping{} }
+// NewStopping returns the event that a graceful shutdown of this daemon begins, which takes at most grace.
+func NewStopping(grace time.Duration) Stopping { return Stopping{grace} }
 
 // Ticked reports that time has passed.
 type Ticked struct{}
--- a/pkg/reducer/state.go
+++ b/pkg/reducer/state.go
@@ -49,6 +49,7 @@
 	case StoreCompleted:
 		s.storeCompleted(e)
 	case Stopping:
+		s.reduceCaller(caller.NewStopScheduled(s.now.Add(e.grace)))
 		s.stop()
 	case Ticked:
 		s.tick()
