--- a/pkg/gateway/retries_test.go
+++ b/pkg/gateway/retries_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"flag"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -60,6 +62,16 @@
 	}
 }
 
+// newRetryFleet returns a fleet of 40 daemons.
+func newRetryFleet(callsPerSecond float64) *fleet {
+	f := newFleet(fleetSize{
+		daemons: 40, engines: 72, centres: 3, domain: 18, large: 8, small: 2, loadsPerSecond: 77, concurrentLoads: 115,
+		callsPerSecond: callsPerSecond,
+	}, benchTraffic)
+	f.burst = 224
+	return f
+}
+
 // This guards against more retries of a fleet than its budget allows, as daemons that know few peers or have just started take too much of it.
 func TestRetriesOfFleetBeyondBudget(t *testing.T) {
 	const start = benchTraffic + 2*time.Second
@@ -88,11 +100,7 @@
 		{"nothing else happens", 300, func(*fleet) {}},
 	} {
 		Convey(fmt.Sprintf("A fleet whose engines fail most calls keeps its retry budget when %s", test.name), t, func() {
-			f := newFleet(fleetSize{
-				daemons: 40, engines: 72, centres: 3, domain: 18, large: 8, small: 2, loadsPerSecond: 77, concurrentLoads: 115,
-				callsPerSecond: test.calls,
-			}, benchTraffic)
-			f.burst = 224
+			f := newRetryFleet(test.calls)
 			f.run(start)
 			f.failing = 0.7
 			test.disturb(f)
@@ -104,3 +112,49 @@
 		})
 	}
 }
+
+// retrySeeds is the number of seeds of TestRetriesUnderDisturbances.
+var retrySeeds = flag.Int("retries.seeds", 1, "number of seeds of TestRetriesUnderDisturbances")
+
+// disturbRandomly disturbs a fleet at random times within a duration: daemons are cut from their peers, restarted or lose power together,
+// engines are lost, and the share of calls that fail changes.
+func disturbRandomly(f *fleet, duration time.Duration) {
+	wait := time.Duration(f.random.Int64N(int64(3 * time.Second)))
+	f.after(wait, func() {
+		share := f.random.Float64()
+		switch f.random.IntN(6) {
+		case 0, 1:
+			cut := time.Duration(f.random.Int64N(int64(20 * time.Second)))
+			f.some(share, func(d *fleetDaemon) { f.cutFromPeers(d, cut) })
+		case 2:
+			f.some(share, f.restart)
+		case 3:
+			f.losePower(time.Second)
+		case 4:
+			f.kill(f.engines[f.random.IntN(len(f.engines))])
+		case 5:
+			f.failing = share
+		}
+		if duration > wait {
+			disturbRandomly(f, duration-wait)
+		}
+	})
+}
+
+func TestRetriesUnderDisturbances(t *testing.T) {
+	for seed := range *retrySeeds {
+		Convey(fmt.Sprintf("A fleet keeps its retry budget under random disturbances, seed %d", seed+1), t, func() {
+			const start, duration = benchTraffic + 2*time.Second, 24 * time.Second
+			random := rand.New(rand.NewPCG(uint64(seed+1), 5))
+			f := newRetryFleet(50 + 200*random.Float64())
+			f.run(start)
+			f.random = random
+			f.failing = 0.7
+			disturbRandomly(f, duration)
+			f.run(start + duration)
+			repeats, allowed := f.mostRepeats()
+			Printf("\n%d retries in a window, %d allowed; %d of %d tries\n", repeats, allowed, len(f.repeated), len(f.tried))
+			So(repeats, ShouldBeLessThanOrEqualTo, allowed)
+		})
+	}
+}
