dispatch: Expect plain calls to take the average time of their route

Cause: since a plain call was expected to take as long as the slowest answer of its service, and twice that if it must not be repeated. Change: it is expected to take the average time of the answers on its route, and no time before one was seen. Refusing more would refuse callers who could not know that the daemon stops; accepting less than before is not needed once the address lists have expired, as nothing is accepted then that may outlast the daemon.

--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -60,9 +60,7 @@
 		return
 	}
 	s.removeAttempt(now, a)
-	if !s.isModelCall(a.call) {
-		s.slowestAnswers[a.call.service] = s.slowestAnswers[a.call.service].with(now, now.Sub(a.sentAt))
-	}
+	s.measureAnswer(now, a)
 	s.recordSuccess(now, a.call)
 	a.upstream.countTrial()
 	s.finish(now, a.call, NoteAnswered, a.target(), "")
--- a/pkg/dispatch/shutdown.go
+++ b/pkg/dispatch/shutdown.go
@@ -38,25 +38,14 @@
 	if !c.deadline.After(s.shutdown.lastAnswer()) {
 		return false
 	}
-	expected := s.expectedSeconds(c)
-	if !c.route.Retryable() {
-		expected *= unrepeatableMargin
-	}
-	return !now.Before(s.shutdown.callersLeave) || expected > s.shutdown.lastAnswer().Sub(now).Seconds()
+	return !now.Before(s.shutdown.callersLeave) || s.expectedSeconds(c) > s.shutdown.lastAnswer().Sub(now).Seconds()
 }
 
-// unrepeatableMargin is the factor on the expected time of a call that its caller could not repeat if it was cut.
-const unrepeatableMargin = 2
-
-// expectedSeconds returns how long a call takes at most: at a replica that is full but not slow, or at a plain service, whose slowest answer of
-// late counts. A call that must not be repeated may take until its deadline if no answer was seen.
+// expectedSeconds returns how long a call takes at most at a replica that is full but not slow, or on average at a plain service, 0 if no
+// answer on its route was seen.
 func (s *State) expectedSeconds(c *call) float64 {
 	if !s.isModelCall(c) {
-		slowest := s.slowestAnswers[c.service].longest()
-		if slowest == 0 && !c.route.Retryable() {
-			slowest = c.deadline.Sub(c.arrived)
-		}
-		return slowest.Seconds()
+		return s.answerSeconds[c.route.Name()]
 	}
 	engine, model := s.engineOf(c)
 	return engine.Read(model, c.promptTokens).Seconds() + engine.StepTime(model, engine.Slots()).Seconds()*float64(c.outputTokens)
@@ -83,22 +72,17 @@
 	}
 }
 
-// slowestWindow is the time after which the slowest answer of a plain service is measured anew.
-const slowestWindow = time.Minute
-
-// slowestAnswer is the time of the slowest answer of a plain service within one to two windows.
-type slowestAnswer struct {
-	since             time.Time
-	current, previous time.Duration
-}
+// answerWeight is the weight of one answer in the average time of answers.
+const answerWeight = 0.1
 
-// with returns the measurement with an answer that took d.
-func (a slowestAnswer) with(now time.Time, d time.Duration) slowestAnswer {
-	if now.Sub(a.since) >= slowestWindow {
-		a = slowestAnswer{since: now, previous: a.current}
+// measureAnswer adds the time of an answer of a plain service to the average of its route.
+func (s *State) measureAnswer(now time.Time, a *attempt) {
+	if s.isModelCall(a.call) {
+		return
 	}
-	a.current = max(a.current, d)
-	return a
+	route, seconds := a.call.route.Name(), now.Sub(a.sentAt).Seconds()
+	if average, isKnown := s.answerSeconds[route]; isKnown {
+		seconds = average + answerWeight*(seconds-average)
+	}
+	s.answerSeconds[route] = seconds
 }
-
-func (a slowestAnswer) longest() time.Duration { return max(a.current, a.previous) }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -19,9 +19,9 @@
 	calls                 map[ID]*call
 	attempts              map[AttemptID]*attempt
 	lastAttempt           AttemptID
-	upstreams             map[string]*upstream     // by name
-	budgets               map[string]*budget       // retry budgets by service
-	slowestAnswers        map[string]slowestAnswer // by plain service
+	upstreams             map[string]*upstream // by name
+	budgets               map[string]*budget   // retry budgets by service
+	answerSeconds         map[string]float64   // average by route of a plain service
 	queue                 []*call
 	fleetSize             int // number of daemons, 0 while it is unknown
 	retrySharers          int // number of daemons that share the burst of the retry budgets, 0 while it is unknown
@@ -72,7 +72,7 @@
 		attempts:              map[AttemptID]*attempt{},
 		upstreams:             map[string]*upstream{},
 		budgets:               map[string]*budget{},
-		slowestAnswers:        map[string]slowestAnswer{},
+		answerSeconds:         map[string]float64{},
 		demand:                map[string]float64{},
 		answerRates:           map[string]*rate{},
 		crashes:               map[uint64]*crashRecord{},
