gateway: Share the retry burst at once when a deployment starts for the first time

Cause: since every start waits for a window, though the first one of a deployment follows no earlier one. Change: with bootstrap in the settings, which is true only then, a daemon has its share once its peers have connected.

--- a/pkg/gateway/retrysharers.go
+++ b/pkg/gateway/retrysharers.go
@@ -77,16 +77,16 @@
 
 // countRetrySharers reports to pkg/dispatch among how many daemons the burst of the retry budget is divided, 0 while that is unknown.
 func (s *State) countRetrySharers(now time.Time, fresh []peer.Member) {
-	r, window, seeds := &s.retrySharers, s.settings.retryLimits.Window(), s.settings.seeds
+	r, seeds := &s.retrySharers, s.settings.seeds
 	r.see(now, s.members.self, false)
 	r.meetSeed(s.settings.peerAddress, seeds)
 	for _, member := range fresh {
 		r.see(now, member.Name(), member.Leaving())
 		r.meetSeed(member.Address(), seeds)
 	}
-	r.forget(now, time.Duration(retrySharerWindows*float64(window)))
+	r.forget(now, time.Duration(retrySharerWindows*float64(s.settings.retryLimits.Window())))
 	count, uptime := 0, now.Sub(s.members.startedAt)
-	if uptime >= window && r.hasMet(seeds, uptime) { // an earlier start of this daemon may have used its share before
+	if uptime >= s.minSharingUptime() && r.hasMet(seeds, uptime) {
 		count = len(r.byName)
 	}
 	if r.isReported && count == r.count {
@@ -96,3 +96,12 @@
 	s.reduceDispatch(now, dispatch.NewRetrySharersChanged(count))
 	s.emit(RetrySharersChanged{count})
 }
+
+// minSharingUptime returns how long after its start this daemon gets no share of the burst: for a window, since an earlier start may have used
+// its share before, or until peers have connected if the deployment starts for the first time.
+func (s *State) minSharingUptime() time.Duration {
+	if s.settings.bootstrap {
+		return minLeaderUptime
+	}
+	return max(s.settings.retryLimits.Window(), minLeaderUptime)
+}
