--- a/internal/callers/execute.go
+++ b/internal/callers/execute.go
@@ -30,9 +30,11 @@
 	s.mutex.Lock()
 	exchanges := slices.Collect(maps.Values(s.exchanges))
 	s.mutex.Unlock()
+	outcome := caller.NewUnknown(caller.DaemonStopping)
 	for _, x := range exchanges {
+		x.stats.finish(s.recorder, outcome, s.clock())
 		select {
-		case x.commands <- finishCommand{caller.NewUnknown(caller.DaemonStopping)}:
+		case x.commands <- finishCommand{outcome}:
 		default: // the handler is far behind, and its connection is closed without an answer
 		}
 		x.cancelAttempts()
--- a/internal/callers/recorder.go
+++ b/internal/callers/recorder.go
@@ -28,6 +28,7 @@
 	arrivedAt        time.Time
 	timeToFirstToken time.Duration
 	attempts         int
+	isRecorded       bool
 }
 
 func (s *callStats) start(call caller.Call, now time.Time) {
@@ -55,11 +56,12 @@
 	}
 }
 
-// finish records the end of the call.
+// finish records the end of the call, unless it was recorded before.
 func (s *callStats) finish(recorder Recorder, outcome caller.Outcome, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if recorder != nil && !s.arrivedAt.IsZero() {
+	if recorder != nil && !s.arrivedAt.IsZero() && !s.isRecorded {
+		s.isRecorded = true
 		recorder.CallEnded(s.call, outcome, s.timeToFirstToken, now.Sub(s.arrivedAt))
 	}
 }
--- a/internal/callers/stop_test.go
+++ b/internal/callers/stop_test.go
@@ -4,21 +4,40 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/sashabaranov/go-openai"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/azurepond/azurepond/internal/standin"
+	"github.com/azurepond/azurepond/pkg/caller"
 	"github.com/azurepond/azurepond/pkg/reducer"
 )
 
 // stopGrace is the grace period of the stops in these tests.
 const stopGrace = 10 * tickInterval
 
+// outcomeRecorder records the outcomes of calls.
+type outcomeRecorder struct {
+	mutex    sync.Mutex
+	outcomes []caller.Outcome
+}
+
+func (r *outcomeRecorder) CallEnded(_ caller.Call, outcome caller.Outcome, _, _ time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.outcomes = append(r.outcomes, outcome)
+}
+
+func (*outcomeRecorder) CallRetried(string) {}
+
 func TestStopCutsRunningCalls(t *testing.T) {
 	Convey("A call that still runs when the grace period of a stop is over is answered as one that may have run", t, func() {
 		h := newHarness(t)
+		recorded := &outcomeRecorder{}
+		h.server.WithRecorder(recorded)
 		gate := standin.NewGate()
 		defer gate.Open()
 		for _, e := range h.engines {
@@ -39,5 +58,6 @@
 		So(apiErr.Type, ShouldEqual, "unknown")
 		So(apiErr.Code, ShouldEqual, "stopping")
 		So(apiErr.HTTPStatusCode, ShouldBeIn, http.StatusBadGateway, http.StatusGatewayTimeout)
+		So(recorded.outcomes, ShouldResemble, []caller.Outcome{caller.NewUnknown(caller.DaemonStopping)})
 	})
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -56,7 +56,7 @@
 		"requests", "How often this daemon may still send requests to a service again.",
 	}
 	RetrySharers = Metric{
-		"azurepond_repeat_sharers",
+		"azurepond_retry_sharers",
 		nil,
 		"daemons", "Among how many daemons this daemon divides the burst of the retry budget, 0 while that is unknown.",
 	}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -147,3 +148,22 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+func TestOddEntryHidesInstances(t *testing.T) {
+	const entry = `{"metadata":{"name":%q,"labels":{"azurepond.dev/port":%q}},"status":{"addresses":[{"type":"InternalIP","address":"127.0.0.1"}],
+		"capacity":{"azurepond.dev/accelerators":"4"}}}`
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for _, odd := range []string{deep, "5", fmt.Sprintf(entry, "i2", "99999"), `{"metadata":{"name":"i2","labels":` + deep + `}}`} {
+		Convey(fmt.Sprintf("An entry of %d bytes that describes no instance hides no other", len(odd)), t, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = fmt.Fprintf(w, `{"metadata":{"resourceVersion":"7"},"items":[%s,%s]}`, odd, fmt.Sprintf(entry, "i1", "9000"))
+			}))
+			defer server.Close()
+			revision, instances, err := New(server.URL, 0, "secret").Instances(context.Background())
+			So(err, ShouldBeNil)
+			So(revision, ShouldEqual, 7)
+			So(len(instances), ShouldEqual, 1)
+			So(instances[0].Address(), ShouldEqual, "127.0.0.1:9000")
+		})
+	}
+}
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -23,8 +23,8 @@
 	internalAddressType = "InternalIP"
 )
 
-// nodeListWire is the metadata of a Kubernetes NodeList.
-type nodeListWire struct {
+// listMetadataWire is the metadata of a Kubernetes NodeList.
+type listMetadataWire struct {
 	ResourceVersion string `json:"resourceVersion"`
 }
 
@@ -61,18 +61,16 @@
 	if err != nil {
 		return 0, nil, trace.BadParameter("malformed instance list: %v", err)
 	}
-	var list nodeListWire
+	var list listMetadataWire
 	if err := json.Unmarshal(fields["metadata"], &list); err != nil {
 		return 0, nil, trace.BadParameter("malformed instance list: %v", err)
 	}
 	if revision, err = strconv.ParseUint(list.ResourceVersion, 10, 64); err != nil {
 		return 0, nil, trace.BadParameter("instance list without a numeric resource version: %v", err)
 	}
-	var items []json.RawMessage
-	if raw := fields["items"]; raw != nil && string(raw) != "null" {
-		if items, err = jsontext.Elements(raw); err != nil {
-			return 0, nil, trace.BadParameter("malformed instance list: %v", err)
-		}
+	items, err := jsontext.ElementsOf(fields, "items")
+	if err != nil {
+		return 0, nil, trace.BadParameter("malformed instance list: %v", err)
 	}
 	instances = make([]instance.Instance, 0, len(items))
 	for _, item := range items {
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -327,3 +327,17 @@
 		So(sim.state.RetriesLeft(sim.now, "engines"), ShouldEqual, before)
 	})
 }
+
+func TestRetryForgottenWithinWindow(t *testing.T) {
+	Convey("A retry counts for a whole window, also if it was sent late in its bucket", t, func() {
+		var b budget
+		limits := NewRetryLimits(0, 10, 10*time.Second)
+		b.countRequest(epoch, limits.window) // begins the bucket
+		sentAt := epoch.Add(bucketWidth - time.Millisecond)
+		for b.reserve(sentAt, limits, 1) {
+			b.spend(sentAt, limits)
+		}
+		So(b.reserve(sentAt.Add(limits.window), limits, 1), ShouldBeFalse)
+		So(b.reserve(sentAt.Add(limits.window+bucketWidth), limits, 1), ShouldBeTrue)
+	})
+}
--- a/pkg/dispatch/shutdown_test.go
+++ b/pkg/dispatch/shutdown_test.go
@@ -80,7 +80,9 @@
 				So(sim.refused[id+10], ShouldBeTrue)
 				So(sim.sends[id+10], ShouldEqual, 0)
 				sim.arrive(id+20, "large", "/read/x")
+				sim.arrive(id+30, "large", "/issue/x")
 				So(sim.sends[id+20], ShouldEqual, 1)
+				So(sim.sends[id+30], ShouldEqual, 1)
 			})
 
 			Convey("one to "+path+" is sent while answers on its route are fast, and before one was seen", func() {
@@ -90,6 +92,10 @@
 				sim.run(callTime + tickInterval)
 				arrive(id+10, path)
 				So(sim.sends[id+10], ShouldEqual, 1)
+				sim.run(callersLeaveAfter)
+				arrive(id+20, path)
+				So(sim.refused[id+20], ShouldBeTrue)
+				So(sim.sends[id+20], ShouldEqual, 0)
 			})
 		}
 	})
--- a/pkg/gateway/retrysharers.go
+++ b/pkg/gateway/retrysharers.go
@@ -10,7 +10,7 @@
 
 // The times and shares by which the sharers of the retry budget are counted.
 const (
-	retrySharerWindows = 1.5             // of the retry budget, for which a daemon counts that is no longer live, since it may have sent retries before
+	retrySharerWindows = 1.5             // of the retry budget, after which a daemon that is gone no longer counts
 	minLiveSharers     = 0.75            // of the known sharers; with fewer, this daemon may be cut off from the others
 	maxSeedWait        = 5 * time.Minute // after which the seeds that were never live are taken for gone
 )
--- a/pkg/gateway/retrysharers_test.go
+++ b/pkg/gateway/retrysharers_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/azurepond/azurepond/pkg/dispatch"
 )
 
 func TestRetrySharersOfDaemonThatIsCut(t *testing.T) {
@@ -64,3 +66,25 @@
 		So(r.hasMet(nil, time.Minute), ShouldBeTrue)
 	})
 }
+
+func TestRetryBurstAfterStart(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, test := range []struct {
+		name        string
+		isBootstrap bool
+		without     time.Duration // a share
+	}{
+		{"that may have sent retries before", false, 10 * time.Second},
+		{"of a deployment that starts for the first time", true, minLeaderUptime},
+	} {
+		Convey("A daemon "+test.name+" gets its share of the burst no earlier than it may", t, func() {
+			var s State
+			s.start(now, NewSettings("a", "c0", "1", 1).WithBootstrap(test.isBootstrap).
+				WithRetryLimits(dispatch.NewRetryLimits(0.2, 100, 10*time.Second)))
+			s.countRetrySharers(now.Add(test.without-time.Millisecond), nil)
+			So(s.retrySharers.count, ShouldEqual, 0)
+			s.countRetrySharers(now.Add(test.without), nil)
+			So(s.retrySharers.count, ShouldEqual, 1)
+		})
+	}
+}
--- a/pkg/jsontext/jsontext.go
+++ b/pkg/jsontext/jsontext.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 )
 
@@ -59,6 +60,19 @@
 	return fields, s.end(ErrNoObject)
 }
 
+// ElementsOf returns the elements of an array among the fields of an object, none if it is missing or null. Its errors are those of Elements.
+func ElementsOf(fields map[string]json.RawMessage, name string) ([]json.RawMessage, error) {
+	raw := fields[name]
+	if raw == nil || string(raw) == "null" {
+		return nil, nil
+	}
+	elements, err := Elements(raw)
+	if err != nil {
+		return nil, fmt.Errorf("field %q: %w", name, err)
+	}
+	return elements, nil
+}
+
 // scanner reads values from JSON text without recursion, so that no nesting is too deep for it.
 type scanner struct {
 	data []byte
