replica: Log what closes a replica

Whether a head has finished its calls was taken from an answer or from a report, and the log did not say which. The leader logs 'replica closed' with the reason.

--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -121,7 +121,9 @@
 			n.setMembership(now, NewMembership(key.replica, key.epoch, rank, PhaseJoining))
 		}
 	case VerbCloseCut, VerbCloseWait:
-		s.closed[key] = s.closed[key] || e.order.verb == VerbCloseCut && e.reply == ReplyBegun
+		if e.order.verb == VerbCloseCut && e.reply == ReplyBegun {
+			s.setClosed(key, n, "answered")
+		}
 		s.nothingToClose[key] = s.nothingToClose[key] || e.reply == ReplyDone
 		if n.membership.isIn(key.replica, key.epoch) && n.membership.phase == PhaseOpen {
 			n.setMembership(now, NewMembership(key.replica, key.epoch, n.membership.rank, PhaseClosing))
@@ -143,8 +145,16 @@
 func (s *State) noteClosed(previous Membership, n *node) {
 	if previous.phase == PhaseClosing && n.membership.phase == PhaseReady &&
 		n.membership.replicaEpoch() == previous.replicaEpoch() {
-		s.closed[previous.replicaEpoch()] = true
+		s.setClosed(previous.replicaEpoch(), n, "reported ready")
+	}
+}
+
+// setClosed marks a replica as closed. The reason says what shows that its head serves no more.
+func (s *State) setClosed(key replicaEpoch, head *node, reason string) {
+	if !s.closed[key] && s.leading {
+		s.emit(LogEntry{message: "replica closed", replica: key.replica, epoch: key.epoch, members: []ID{head.id}, reason: reason})
 	}
+	s.closed[key] = true
 }
 
 // noteRemovals stores the replicas that a new record removes instances from.
