replica: Ask a closing head whether it has finished its calls

Cause: a head that was ordered to finish its calls and close counted as closed once it was reported ready. Only an older report of open was recognised, for a second. Change: a report ends no close. A head that is reported ready is asked once more: it answers that the close has begun while it finishes calls, and that there is nothing to close afterwards; then it leaves, and its answer releases the members. The time since the close began is kept by epoch, so that an older report does not begin it anew.

--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -74,6 +74,7 @@
 	head := s.nodes[g.members[0].id]
 	if ready && head.membership.phase == PhaseReady {
 		delete(s.closed, replicaEpoch{g.name, g.epoch}) // the order may be carried out even if it is not answered
+		delete(s.closingSince, replicaEpoch{g.name, g.epoch})
 		s.send(now, head, Order{verb: VerbOpen, replica: g.name, epoch: g.epoch}, s.engine.FormationTime())
 	}
 }
@@ -118,20 +119,6 @@
 			s.closeReplica(now, n, n.membership.replicaEpoch())
 		}
 	}
-	for name := range s.closingSince {
-		if !s.hasServingHead(name) {
-			delete(s.closingSince, name)
-		}
-	}
-}
-
-func (s *State) hasServingHead(name string) bool {
-	for _, n := range s.nodes {
-		if n.membership.replica == name && n.membership.isServing() {
-			return true
-		}
-	}
-	return false
 }
 
 // mustDefer reports whether an order must not be sent yet. That is so while a reply of the instance is outstanding,
@@ -174,8 +161,10 @@
 // mustResend reports whether an order must be sent again after its reply. Once the effect is overdue, it probes the
 // instance, since the list may lag.
 func (s *State) mustResend(now time.Time, n *node, sent *sentOrder) bool {
-	switch sent.reply {
-	case ReplyBegun, ReplyDone:
+	switch {
+	case sent.order.verb == VerbCloseWait && sent.reply == ReplyBegun && !n.membership.isServing():
+		return true // it is reported to have finished its calls, which only its answer proves
+	case sent.reply == ReplyBegun, sent.reply == ReplyDone:
 		if now.Sub(sent.expectedAt) >= sent.probeDelay(now) && now.Sub(sent.lastProbe) >= sent.probeDelay(now) && !n.probing {
 			sent.lastProbe = now
 			s.probe(now, n.id, n)
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -200,7 +200,6 @@
 	} else {
 		n.updateMembership(now, previous, report.membership)
 	}
-	s.noteClosed(previous, n)
 	n.rememberModel()
 	if isRestarted {
 		n.lastModel = ""
--- a/pkg/replica/recovery_test.go
+++ b/pkg/replica/recovery_test.go
@@ -77,6 +77,7 @@
 
 	Convey("A record that is lost completely is recovered too", t, func() {
 		sim := busySimulation()
+		sim.run(drainTimeout) // the last repair waits for calls
 		before := sim.servingHeads()
 		sim.restoreStore(time.Hour)
 		sim.feed(sim.daemons[0], NewStoreEra(sim.era))
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// An instance joins another replica only once each replica that it may belong to is closed. A replica is closed if its
-// head answered a close and does not serve any more. A head that has nothing to close must leave the replica, as it may
-// be about to open. If the head is unreachable, the instance itself must answer an order to leave. Neither the reported
-// membership nor the record is sufficient alone: reports and the list lag, and the record is all that a new leader
-// knows of the orders of the previous one.
+// An instance joins another replica only once each replica that it may belong to is closed. Only an answer of the head proves
+// that: it aborted its calls, or it has nothing to close and left, as it may be about to open. A head that finishes its calls
+// is asked again once it is reported ready. If the head is unreachable, the instance itself must answer an order to leave.
+// Neither the reported membership nor the record is proof: a report may be older than the opening, and the record is all
+// that a new leader knows of the orders of the previous one.
 
 // assignment is a replica that an instance may belong to, and the head of the replica.
 type assignment struct {
@@ -92,10 +92,10 @@
 // closeReplica orders the head to close a replica. It aborts the calls if the head reports another replica, a member is
 // missing, or drainTimeout has passed.
 func (s *State) closeReplica(now time.Time, head *node, target replicaEpoch) {
-	since, isKnown := s.closingSince[target.replica]
+	since, isKnown := s.closingSince[target]
 	if !isKnown {
 		since = now
-		s.closingSince[target.replica] = now
+		s.closingSince[target] = now
 	}
 	verb := VerbCloseWait
 	if head.membership.replicaEpoch() != target || !s.isComplete(head) || now.Sub(since) >= drainTimeout {
@@ -121,14 +121,11 @@
 			n.setMembership(now, NewMembership(key.replica, key.epoch, rank, PhaseJoining))
 		}
 	case VerbCloseCut, VerbCloseWait:
-		if e.order.verb == VerbCloseCut && e.reply == ReplyBegun {
-			s.setClosed(key, n, "answered")
-		}
-		s.nothingToClose[key] = s.nothingToClose[key] || e.reply == ReplyDone
-		if n.membership.isIn(key.replica, key.epoch) && n.membership.phase == PhaseOpen {
-			n.setMembership(now, NewMembership(key.replica, key.epoch, n.membership.rank, PhaseClosing))
-		}
+		s.applyClose(now, n, e)
 	case VerbLeave:
+		if s.nothingToClose[key] && n.membership.isIn(key.replica, key.epoch) && n.membership.rank == 0 {
+			s.setClosed(key, n, "left by its head")
+		}
 		s.departures[departure{n.id, key}] = true
 		if n.membership.isIn(key.replica, key.epoch) {
 			n.setMembership(now, Membership{epoch: key.epoch})
@@ -136,19 +133,30 @@
 	}
 }
 
+// applyClose applies the answer of a head to a close. A head that waits for its calls answers ReplyBegun again while it does.
+func (s *State) applyClose(now time.Time, n *node, e OrderAnswered) {
+	key := replicaEpoch{e.order.replica, e.order.epoch}
+	phase := PhaseClosing
+	switch {
+	case e.reply == ReplyDone:
+		s.nothingToClose[key] = true
+		phase = PhaseReady
+	case e.order.verb == VerbCloseCut:
+		s.setClosed(key, n, "answered")
+		if n.membership.phase != PhaseOpen {
+			return
+		}
+	}
+	if n.membership.isIn(key.replica, key.epoch) && n.membership.phase != phase {
+		n.setMembership(now, NewMembership(key.replica, key.epoch, n.membership.rank, phase))
+	}
+}
+
 // setMembership sets the membership that follows from an order that the instance carries out.
 func (n *node) setMembership(now time.Time, m Membership) {
 	n.membership, n.membershipConfirmed, n.membershipChanged = m, now, now
 }
 
-// noteClosed marks a replica as closed once its closing head has finished its calls.
-func (s *State) noteClosed(previous Membership, n *node) {
-	if previous.phase == PhaseClosing && n.membership.phase == PhaseReady &&
-		n.membership.replicaEpoch() == previous.replicaEpoch() {
-		s.setClosed(previous.replicaEpoch(), n, "reported ready")
-	}
-}
-
 // setClosed marks a replica as closed. The reason says what shows that its head serves no more.
 func (s *State) setClosed(key replicaEpoch, head *node, reason string) {
 	if !s.closed[key] && s.leading {
@@ -179,6 +187,11 @@
 const closedRetention = 256
 
 func (s *State) forgetClosed(epoch uint64) {
+	for key := range s.closingSince {
+		if key.epoch+closedRetention < epoch {
+			delete(s.closingSince, key)
+		}
+	}
 	for key := range s.closed {
 		if key.epoch+closedRetention < epoch {
 			delete(s.closed, key)
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -53,8 +53,8 @@
 	isPlanUrgent      bool                  // an instance was lost or is leaving since then, or the demand is new
 	lastStaging       time.Time
 	lastCounts        time.Time
-	noTransfers       bool                 // replicas never give members to others; for comparison in tests
-	closingSince      map[string]time.Time // when the close of a replica began, by name
+	noTransfers       bool                       // replicas never give members to others; for comparison in tests
+	closingSince      map[replicaEpoch]time.Time // when the close of a replica began
 
 	effects []Effect
 }
@@ -94,7 +94,7 @@
 		departures:        map[departure]bool{},
 		nothingToClose:    map[replicaEpoch]bool{},
 		lastOrders:        map[ID]map[Verb]*sentOrder{},
-		closingSince:      map[string]time.Time{},
+		closingSince:      map[replicaEpoch]time.Time{},
 		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
 			WithBackoff(object.NewBackoff(minStoreBackoff, maxStoreBackoff, settings.seed)),
 	}
@@ -232,7 +232,6 @@
 	n.Instance = i
 	n.updateMembership(now, known, i.membership)
 	s.noteEpoch(i.membership.epoch)
-	s.noteClosed(known, n)
 	n.rememberModel()
 }
 
