replica: Ask heads again after a change of the leader

A leader kept what heads and instances had answered to closes and orders to leave while another daemon led, while it was suspended, and when the store was restored. With a restored record, a replica that had been closed may have been opened again, so its members could be released while it serves. TestClosesOfEarlierLeadership failed before (released, expected not). The answers are discarded when a daemon becomes the leader, reads the record again or leads a restored store. The heads are asked again, which takes two orders.

--- a/pkg/replica/closing_test.go
+++ b/pkg/replica/closing_test.go
@@ -81,6 +81,19 @@
 	})
 }
 
+func TestClosesOfEarlierLeadership(t *testing.T) {
+	Convey("A leader that has led before asks heads again whether they are closed", t, func() {
+		r := newClosingReplica()
+		r.closed[closingEpoch] = true
+		r.departures[departure{"head", closingEpoch}] = true
+		r.now = r.now.Add(maxReportLag)
+		r.report(0, PhaseReady)
+		r.Reduce(r.now, NewLeadershipChanged(true))
+		r.nodes["other"].membershipConfirmed = r.now
+		So(r.release(VerbCloseWait, ReplyDone), ShouldBeFalse)
+	})
+}
+
 func TestJoinsBesideClosingHeads(t *testing.T) {
 	Convey("Kills, restarts, outdated entries, changes of the leader and late orders let no instance join while its head finishes calls", t, func() {
 		for _, seed := range closingSeedsToRun() {
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -41,6 +41,7 @@
 	s.leading, s.recordRead, s.takeoverRecorded = leading, false, false
 	s.leadingSince = now
 	s.lastOrders = map[ID]map[Verb]*sentOrder{}
+	s.forgetReleases()
 	if leading {
 		s.writer.Reset()
 	}
--- a/pkg/replica/recovery.go
+++ b/pkg/replica/recovery.go
@@ -37,6 +37,7 @@
 func (s *State) restartLeading(now time.Time) {
 	s.recordRead, s.takeoverRecorded = false, false
 	s.leadingSince = now
+	s.forgetReleases()
 	s.writer.Reset()
 }
 
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -186,6 +186,15 @@
 // closedRetention is for how many epochs a closed replica is remembered. A release takes two or three.
 const closedRetention = 256
 
+// forgetReleases discards what heads and instances answered before, so that they are asked again. Another leader, or one with a
+// restored record, may have opened a replica since.
+func (s *State) forgetReleases() {
+	clear(s.closed)
+	clear(s.departures)
+	clear(s.nothingToClose)
+	clear(s.closingSince)
+}
+
 func (s *State) forgetClosed(epoch uint64) {
 	for key := range s.closingSince {
 		if key.epoch+closedRetention < epoch {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -183,6 +183,7 @@
 	s.lastEvent = now
 	if s.leading && gap > maxEventGap {
 		s.recordRead, s.takeoverRecorded = false, false
+		s.forgetReleases()
 		s.writer.Reset()
 	}
 }
