dispatch: Keep to the retry budget within parts of the window too

A daemon could send the retries for a whole window of requests at once. If it started again then, or its callers went to another daemon, nothing counted these retries any more, while the requests after that allowed as many again, so that the ratio of one window was used almost twice. The margin of a fifth covered that as long as the burst was large beside the requests.

The ratio and the burst now also hold for the last quarter of a window, its half and its last three quarters. Then a daemon has sent at most the retries for the requests since a quarter of a window before, which the margin covers, whatever becomes of it or its callers. A short span may be exceeded by less than one retry, since daemons with few requests would send none otherwise.

TestRetriesForRequestsCountedTwice failed before (64 retries of 45, now 40), so did TestRetriesForRequestsOfOthersBeyondBudget (1,228 of 1,164 after kills, 1,140 of 1,093 when callers move; now 904 of 1,172 and 922 of 1,145).

--- a/pkg/dispatch/budget.go
+++ b/pkg/dispatch/budget.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // bucketWidth is the resolution of the sliding window, a twentieth of the platform's window.
 const bucketWidth = 500 * time.Millisecond
@@ -9,6 +12,12 @@
 // the platform are not aligned.
 const budgetSafety = 0.8
 
+// budgetSpans is the number of spans at the end of the window, of a quarter of it and more, each of which keeps to the ratio and the burst.
+// Otherwise a daemon could send the retries for a whole window of requests at once, just before it starts again or its callers go to
+// another daemon, where the requests of the next window allow as many. With quarters, the ratio is exceeded by a quarter at most then, which
+// the margin covers.
+const budgetSpans = 4
+
 // budget limits the retries of one service over a sliding window. A retry is reserved when it is granted and counts until it is sent, since
 // it may wait for an upstream, and from then on for a window.
 type budget struct {
@@ -37,21 +46,38 @@
 // countRequest counts a new request.
 func (b *budget) countRequest(at time.Time, window time.Duration) { b.bucket(at, window).requests++ }
 
-// remaining returns the number of retries left. While the number of sharers is unknown, there is no share of the burst.
+// remaining returns the number of retries left: the fewest that any of the last spans of the window allows. While the number of sharers is
+// unknown, there is no share of the burst.
 func (b *budget) remaining(at time.Time, limits RetryLimits, sharers int) float64 {
 	b.bucket(at, limits.window)
-	requests, retries := 0, b.reserved
+	burst := 0.0
+	if sharers > 0 {
+		burst = limits.burst / float64(sharers)
+	}
+	remaining := math.Inf(1)
+	for span := 1; span <= budgetSpans; span++ {
+		requests, retries := b.count(at, limits.window*time.Duration(span)/budgetSpans)
+		left := budgetSafety*(limits.ratio*float64(requests)+burst) - float64(retries+b.reserved)
+		if span < budgetSpans {
+			left++ // the few requests of a short span may allow less than one retry
+		}
+		remaining = min(remaining, left)
+	}
+	return remaining
+}
+
+// count returns the requests of the buckets that are within the last span, and the retries of these and of the bucket in which it begins.
+func (b *budget) count(at time.Time, span time.Duration) (requests, retries int) {
 	for _, bucket := range b.buckets {
-		retries += bucket.retries
-		if at.Sub(bucket.start) <= limits.window { // all of the bucket is within the window
+		age := at.Sub(bucket.start)
+		if age <= span {
 			requests += bucket.requests
 		}
+		if age <= span+bucketWidth {
+			retries += bucket.retries
+		}
 	}
-	allowed := limits.ratio * float64(requests)
-	if sharers > 0 {
-		allowed += limits.burst / float64(sharers)
-	}
-	return budgetSafety*allowed - float64(retries)
+	return requests, retries
 }
 
 // reserve grants a retry, and reports whether one was left. It must be followed by spend or release.
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -341,3 +341,43 @@
 		So(b.reserve(sentAt.Add(limits.window+bucketWidth), limits, 1), ShouldBeTrue)
 	})
 }
+
+// This guards against retries for the requests of the last window being sent at once just before a daemon starts again or its callers go to
+// another daemon, which sends as many for the requests of the next window.
+func TestRetriesForRequestsCountedTwice(t *testing.T) {
+	Convey("Two daemons that get the same requests one after the other don't exceed the ratio of the requests in a window", t, func() {
+		const perSecond, seconds = 20, 10
+		limits := NewRetryLimits(0.2, 100, seconds*time.Second)
+		// fail makes one request after the other fail for a time, and returns the number of retries.
+		fail := func(b *budget, from time.Time, d time.Duration, sharers int) (retries int) {
+			for at := from; at.Before(from.Add(d)); at = at.Add(time.Second / perSecond) {
+				b.countRequest(at, limits.window)
+				for b.reserve(at, limits, sharers) {
+					b.spend(at, limits)
+					retries++
+				}
+			}
+			return retries
+		}
+		var first, second budget
+		for i := range perSecond * seconds {
+			first.countRequest(epoch.Add(time.Duration(i)*time.Second/perSecond), limits.window)
+		}
+		end := epoch.Add(seconds * time.Second)
+		retries := fail(&first, end, time.Second, 20)
+		So(retries, ShouldBeGreaterThan, 0)
+		retries += fail(&second, end.Add(time.Second), (seconds-1)*time.Second, 0) // no share of the burst after the start
+		Printf("\n%d retries\n", retries)
+		So(retries, ShouldBeLessThanOrEqualTo, int(limits.ratio*perSecond*seconds+limits.burst/20))
+	})
+
+	Convey("A daemon that gets a request now and then sends a retry for some", t, func() {
+		var b budget
+		limits := NewRetryLimits(0.2, 0, 10*time.Second)
+		for i := range 10 {
+			b.countRequest(epoch.Add(time.Duration(i)*time.Second), limits.window)
+		}
+		So(b.reserve(epoch.Add(9*time.Second), limits, 1), ShouldBeTrue)
+		So(b.reserve(epoch.Add(9*time.Second), limits, 1), ShouldBeFalse)
+	})
+}
--- a/pkg/gateway/retries_test.go
+++ b/pkg/gateway/retries_test.go
@@ -113,6 +113,33 @@
 	}
 }
 
+// This guards against more retries than the budget allows where the daemons that sent them for the requests before no longer count them, as
+// they have started again or get no more requests, while the budget for the requests after them is used too.
+func TestRetriesForRequestsOfOthersBeyondBudget(t *testing.T) {
+	const start, spent = benchTraffic + 12*time.Second, 3200 * time.Millisecond
+	for _, test := range []struct {
+		name    string
+		disturb func(*fleet)
+	}{
+		{"all daemons are killed", func(f *fleet) { f.some(1, f.restart) }},
+		{"the callers of most daemons go to the others", func(f *fleet) {
+			f.pick = func() *fleetDaemon { return f.daemons[f.random.IntN(len(f.daemons)/8)] }
+		}},
+	} {
+		Convey(fmt.Sprintf("A fleet whose engines fail most calls keeps its retry budget when %s, once they have spent theirs", test.name), t, func() {
+			f := newRetryFleet(300)
+			f.run(start)
+			f.failing = 0.7
+			f.run(start + spent)
+			test.disturb(f)
+			f.run(start + 12*time.Second)
+			repeats, allowed := f.mostRepeats()
+			Printf("\n%d retries in a window, %d allowed; %d of %d tries\n", repeats, allowed, len(f.repeated), len(f.tried))
+			So(repeats, ShouldBeLessThanOrEqualTo, allowed)
+		})
+	}
+}
+
 // retrySeeds is the number of seeds of TestRetriesUnderDisturbances.
 var retrySeeds = flag.Int("retries.seeds", 1, "number of seeds of TestRetriesUnderDisturbances")
 
