dispatch: Test that each kind of arrival counts against the retry budget

The test sends a call again after each failure that may have reached an upstream, with a send in between that was not sent. It found no fault. With rejections counted as not arrived, it fails for 421 and "not run".

--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -66,6 +66,32 @@
 	})
 }
 
+// This guards against a repeat that upstreams count and the budget does not: the rejections, broken answers and lost peers that follow an arrival.
+func TestArrivalsBeyondBudget(t *testing.T) {
+	for _, failure := range []Failure{NotRun, Misdirected, Errored, Garbled, Interrupted, RelayLost} {
+		for _, path := range []string{"/read/x", "/draft/x"} {
+			Convey("A request for "+path+" that failed as "+failure.String()+" uses a retry for the next send, also if another was not sent", t, func() {
+				sim := newSimulation(4, 1)
+				service := map[string]string{"/read/x": "desk", "/draft/x": "engines"}[path]
+				left := sim.state.RetriesLeft(sim.now, service)
+				failures := []Failure{failure, NotSent}
+				sim.failWith = func(Send) Failure {
+					if len(failures) == 0 {
+						return NoFailure
+					}
+					next := failures[0]
+					failures = failures[1:]
+					return next
+				}
+				sim.arrive(1, "large", path)
+				sim.run(time.Second)
+				So(sim.sends[1], ShouldEqual, 3)
+				So(sim.state.RetriesLeft(sim.now, service), ShouldBeLessThanOrEqualTo, left-1+0.2) // the request itself allows a fifth
+			})
+		}
+	}
+}
+
 func TestSilentConnection(t *testing.T) {
 	Convey("Given a stream that is sent over a connection that delivers nothing", t, func() {
 		sim := newSimulation(2, 1)
