upstream: Keep connections only to upstreams that name requests

A probe or an order got the status and body of an earlier answer, and an idempotent call of a plain service the body of another call, if the upstream sent an answer without an ID on a kept connection.

Cause: Forward accepted any answer without an ID, since services need not name requests, and control requests had no ID at all; both used kept connections.

Change: control requests have IDs. A request is sent over a kept connection only if it may be repeated and the last answer of its upstream named its request; there, an answer without an ID is an identity mismatch. Upstreams that name none get a new connection for each request, so that nothing else changes for them.

TestUnnamedAnswerOnUsedConnection failed before: a probe got the body "earlier" instead of "own", and the status 503 instead of 200. It passes, with a service that never names requests; the tests of internal/upstream, internal/daemon and internal/commands pass.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -33,11 +33,14 @@
 	pooled       http.RoundTripper
 	unpooled     http.RoundTripper
 	stallTimeout time.Duration
+	identity     *identity
 }
 
 // New returns a client with the default stall timeout.
 func New() *Client {
-	return &Client{pooled: transport.New(), unpooled: transport.NewWithoutKeepAlives(), stallTimeout: defaultStallTimeout}
+	return &Client{
+		pooled: transport.New(), unpooled: transport.NewWithoutKeepAlives(), stallTimeout: defaultStallTimeout, identity: &identity{},
+	}
 }
 
 // WithStallTimeout returns a client that ends a stream if the engine sends nothing for timeout.
@@ -92,7 +95,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	response, _, err := transport.Send(c.pooled, request)
+	response, _, err := c.send(request, c.identity.nextID(), true)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -93,27 +94,25 @@
 	if !r.notAfter.IsZero() && time.Now().After(r.notAfter) {
 		return Reply{delivery: NotSent}
 	}
-	newRequest, roundTripper := transport.NewRequest, c.unpooled
+	newRequest := transport.NewRequest
 	if r.idempotent {
-		newRequest, roundTripper = transport.NewRepeatableRequest, c.pooled
+		newRequest = transport.NewRepeatableRequest
 	}
 	request, err := newRequest(ctx, r.method, "http://"+r.address+r.pathAndQuery, r.body)
 	if err != nil {
 		return Reply{delivery: NotSent}
 	}
 	copyHeaders(request.Header, r.header, forwardedRequestHeaders)
-	request.Header.Set(requestIDHeader, r.id)
-	response, sent, err := transport.Send(roundTripper, request)
-	if err != nil && !sent {
+	response, sent, err := c.send(request, r.id, r.idempotent)
+	switch {
+	case errors.Is(err, errIdentity):
+		return Reply{delivery: IdentityMismatch}
+	case err != nil && !sent:
 		return Reply{delivery: NotSent}
-	}
-	if err != nil {
+	case err != nil:
 		return Reply{delivery: OutcomeUnknown}
 	}
 	defer func() { _ = response.Body.Close() }()
-	if echoed := response.Header.Get(requestIDHeader); echoed != "" && echoed != r.id {
-		return Reply{delivery: IdentityMismatch}
-	}
 	body, err := readAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return Reply{delivery: OutcomeUnknown}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -96,13 +96,6 @@
 	return nil, errorResult(response, result)
 }
 
-// isAnswerTo reports whether an error response belongs to the request with this ID. One without an ID may be a second copy of an earlier
-// response if its connection was used before.
-func isAnswerTo(id string, response *http.Response, isReused bool) bool {
-	echoed := response.Header.Get(requestIDHeader)
-	return echoed == id || echoed == "" && !isReused
-}
-
 // errorResult adds a status other than 200 to a result. Statuses other than 4xx and 503 count as Broken, since the call
 // may have run.
 func errorResult(response *http.Response, result CompletionResult) CompletionResult {
