relay: Blame the peer for an answer that breaks off in its trailer

An upstream was suspected, and a crash was counted for the request, if the peer that passed its answer on was lost after the last byte of the body and before the end of its trailer. Such crashes at two upstreams end the retries of a request. The peer was used again for the next request.

Cause: the driver recognised a lost peer by the error of the connection. net/http has errors of its own for a trailer that is cut ("unexpected EOF reading trailer", "suspiciously long trailer"), which looked like a malformed answer of the upstream. Class: who is to blame is inferred from the kind of an error, not from who reported it.

Change: a peer reports a broken answer of the upstream in its trailer, so that any other error of the body is the peer's. The body of the hop says so, and keeps its error, as io.CopyN drops one that comes with the last byte asked for.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	hop "github.com/azurepond/azurepond/internal/relay"
 	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/gateway"
@@ -256,7 +257,7 @@
 	case errors.As(err, &callerError{}):
 		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
 		failed = failed.WithFailure(dispatch.Halted)
-	case ctx.Err() == nil && e.isRelayLost(err):
+	case ctx.Err() == nil && hop.IsLost(err):
 		e.daemon.enqueueRelay(relay.NewFailed(e.via.Name(), send.Upstream(), relay.NoRelay))
 		failed = failed.WithFailure(dispatch.RelayLost)
 	}
--- a/internal/gateway/way.go
+++ b/internal/gateway/way.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -127,13 +125,6 @@
 	return nil, dispatch.NotSent, hop.OutcomeError{Outcome: outcome}
 }
 
-// isRelayLost reports whether an answer broke off because the connection to the peer that passes it on did.
-func (e *exchange) isRelayLost(err error) bool {
-	var network net.Error
-	isConnectionError := errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
-	return e.via != (relay.Peer{}) && isConnectionError && !hop.IsUpstreamFailure(err)
-}
-
 func (d *Daemon) enqueueRelay(e relay.Event) { d.enqueue(gateway.NewRelayEvent(e)) }
 
 // connectEnded reports a new connection to an upstream, or why it was not established.
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -58,11 +58,13 @@
 // OutcomeOf returns the outcome that an answer of the other daemon reports, empty if it reports none.
 func OutcomeOf(header http.Header) Outcome { return Outcome(header.Get(outcomeHeader)) }
 
-// errIncomplete says that the upstream's answer broke off.
-var errIncomplete = errors.New("answer of the upstream broke off")
+var (
+	errIncomplete = errors.New("answer of the upstream broke off")
+	errLost       = errors.New("answer of the other daemon broke off")
+)
 
-// IsUpstreamFailure reports whether err says that the upstream's answer broke off, and not the connection to the other daemon.
-func IsUpstreamFailure(err error) bool { return errors.Is(err, errIncomplete) }
+// IsLost reports whether err says that the other daemon's answer broke off before it said what became of the upstream's.
+func IsLost(err error) bool { return errors.Is(err, errLost) }
 
 // OutcomeError is the error of a request without an answer of the upstream.
 type OutcomeError struct{ Outcome Outcome }
@@ -82,18 +84,26 @@
 	answer.Body = &checkedBody{ReadCloser: answer.Body, answer: answer}
 }
 
-// checkedBody is the body of an answer, which is incomplete if its trailer says so.
+// checkedBody is the body of an answer, which is incomplete if its trailer says so or does not arrive.
 type checkedBody struct {
 	io.ReadCloser
 	answer *http.Response
+	err    error // which ended the body
 }
 
 // Read reads from the body.
 func (b *checkedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.answer.Trailer.Get(failureTrailer) != "" {
+	switch {
+	case errors.Is(err, io.EOF) && b.answer.Trailer.Get(failureTrailer) != "":
 		err = errors.Join(io.ErrUnexpectedEOF, errIncomplete)
+	case err != nil && !errors.Is(err, io.EOF):
+		err = errors.Join(err, errLost)
 	}
+	b.err = err
 	return n, err
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -190,7 +191,8 @@
 		} {
 			_, _, err := read(newHopTo(t, rawUpstream(t, text)))
 			So(err, ShouldNotBeNil)
-			So(IsUpstreamFailure(err), ShouldBeTrue)
+			So(errors.Is(err, errIncomplete), ShouldBeTrue)
+			So(IsLost(err), ShouldBeFalse)
 		}
 	})
 
@@ -218,7 +220,8 @@
 		h.relay.CloseClientConnections()
 		_, err = io.ReadAll(answer.Response.Body)
 		So(err, ShouldNotBeNil)
-		So(IsUpstreamFailure(err), ShouldBeFalse)
+		So(errors.Is(err, errIncomplete), ShouldBeFalse)
+		So(IsLost(err), ShouldBeTrue)
 		<-h.done
 	})
 }
