dispatch: Continue a stream only after an event with an id

A caller got an event with data and without an id of one upstream, and events 3 and 4 of another one, as one stream that looked complete.

Cause: a stream that breaks off was continued after the last id, whatever came after it, or from the beginning if there was none. PROTOCOL.md has streams resumed at Last-Event-Id; after an event with content that has no id, no upstream can know what the caller has received, so that an event may be missing or come twice (ORDER). Class: the position of a stream is taken for known because it was known once.

Change: the driver reports when the position of a stream becomes unknown, and when it is known again by an event with an id. While it is unknown, a stream that breaks off ends with the caller's connection, and one that stalls stays where it is, as a stream that may not be resumed does. Comments, reconnection times and events without data change nothing.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -43,6 +43,8 @@
 	stalls      stallClock      // of the present attempt
 	via         relay.Peer      // that passes the present attempt on, the zero value if none does
 
+	isPositionUnknown bool // an event with content and without an id was sent after lastEventID
+
 	bufferedBytes int64 // of the daemon's that this exchange takes
 }
 
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -43,7 +43,7 @@
 			e := &exchange{writer: httptest.NewRecorder(), headSent: true, lastEventID: "2"}
 			first := strings.NewReader("id: 3\ndata: a\n\n")
 			response := &http.Response{Body: io.NopCloser(io.MultiReader(first, body)), ContentLength: -1}
-			So(e.relay(&transport.Exchange{Response: response}, func(bool) {}), ShouldNotBeNil)
+			So(e.relay(&transport.Exchange{Response: response}, func(bool) {}, func(bool) {}), ShouldNotBeNil)
 			So(body.read, ShouldBeLessThan, endlessBytes/8)
 		})
 	}
@@ -53,7 +53,7 @@
 		e := &exchange{writer: httptest.NewRecorder()}
 		response := &http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(body), ContentLength: -1}
 		e.daemon = &Daemon{adapter: Adapter{Headers: plainHeaders{}}}
-		So(e.relay(&transport.Exchange{Response: response}, func(bool) {}), ShouldNotBeNil)
+		So(e.relay(&transport.Exchange{Response: response}, func(bool) {}, func(bool) {}), ShouldNotBeNil)
 		So(body.read, ShouldBeLessThan, endlessBytes/8)
 	})
 }
--- a/internal/gateway/hop_test.go
+++ b/internal/gateway/hop_test.go
@@ -39,7 +39,7 @@
 	hop.Unwrap(response)
 	e := &exchange{daemon: &Daemon{}, headSent: true, writer: httptest.NewRecorder()}
 	if isStream {
-		return e.relay(&transport.Exchange{Response: response}, func(bool) {})
+		return e.relay(&transport.Exchange{Response: response}, func(bool) {}, func(bool) {})
 	}
 	_, _, err = e.readAnswer(response.Body)
 	return err
--- a/internal/gateway/stallclock_test.go
+++ b/internal/gateway/stallclock_test.go
@@ -65,7 +65,7 @@
 			e := &exchange{writer: httptest.NewRecorder(), headSent: true}
 			response := &http.Response{Body: io.NopCloser(strings.NewReader(body)), TransferEncoding: []string{"chunked"}}
 			count := 0
-			So(e.relay(&transport.Exchange{Response: response}, func(bool) { count++ }), ShouldBeNil)
+			So(e.relay(&transport.Exchange{Response: response}, func(bool) { count++ }, func(bool) {}), ShouldBeNil)
 			So(count, ShouldEqual, events)
 		}
 	})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,7 +76,7 @@
 		if first {
 			e.daemon.enqueueDispatch(dispatch.NewFirstEventReceived(send.Attempt()))
 		}
-	})
+	}, func(isKnown bool) { e.daemon.enqueueDispatch(dispatch.NewPositionChanged(send.Attempt(), isKnown)) })
 	if timing.firstDelay > 0 {
 		e.daemon.recorder.StreamAttemptEnded(send.Route(), timing.firstDelay, timing.longestGap)
 	}
@@ -93,8 +93,9 @@
 	return true
 }
 
-// relay copies events to the caller and calls onEvent after each one that has an id or data.
-func (e *exchange) relay(answer *transport.Exchange, onEvent func(first bool)) error {
+// relay copies events to the caller. It calls onEvent after each one that has an id or data, and onPosition when the position of the stream
+// becomes known or unknown.
+func (e *exchange) relay(answer *transport.Exchange, onEvent, onPosition func(bool)) error {
 	reader := bufio.NewReader(answer.Response.Body)
 	caller := newCallerWriter(e.writer)
 	first, withoutID := true, 0
@@ -117,6 +118,10 @@
 			return errNotContinuation
 		}
 		e.writeHead(answer.Response)
+		if isUnknown := id == "" && (e.isPositionUnknown || hasContent(event)); isUnknown != e.isPositionUnknown {
+			e.isPositionUnknown = isUnknown
+			onPosition(!isUnknown)
+		}
 		hasData := bytes.Contains(event, []byte("data:"))
 		e.stalls.beginWrite(time.Now())
 		err = caller.writeEvent(event)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -25,7 +25,7 @@
 	if framed {
 		response.TransferEncoding = []string{"chunked"}
 	}
-	err := e.relay(&transport.Exchange{Response: response}, func(bool) {})
+	err := e.relay(&transport.Exchange{Response: response}, func(bool) {}, func(bool) {})
 	return recorder.Body.String(), err
 }
 
@@ -114,7 +114,7 @@
 
 		e := newExchange()
 		body := io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))
-		err := e.relay(&transport.Exchange{Response: &http.Response{Body: body, ContentLength: -1}}, func(bool) {})
+		err := e.relay(&transport.Exchange{Response: &http.Response{Body: body, ContentLength: -1}}, func(bool) {}, func(bool) {})
 		So(err, ShouldNotBeNil)
 		e.reportBroken(context.Background(), send, err)
 		So(events(e), ShouldResemble, gone)
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -91,6 +91,9 @@
 	hasPartialAnswer bool     // the caller may have a part of the response
 	lastEventID      string   // last event that the caller received
 	hasReservedRetry bool     // the next send uses a retry that the budget has granted
+
+	isPositionUnknown bool // the caller received an event with content and without an id after lastEventID
+
 	queuedAt         time.Time
 	deniedShards     []Shard     // whose owners denied a slot
 	hasSlot          bool        // the next send uses a granted slot
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -6,7 +6,7 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// Event is an input of State: Configured, Arrived, Started, FirstEventReceived, StreamStalled, Completed, Failed, CallerLeft, SlotReply,
+// Event is an input of State: Configured, Arrived, Started, FirstEventReceived, PositionChanged, StreamStalled, Completed, Failed, CallerLeft, SlotReply,
 // SlotRequested, UsageReported, PeersChanged, CrashReported, PoisonMarked, PartCrashReported, PartAnswered, PartsAsked, PartMarked,
 // ReplicaBroken, ReplicaSilent, ReplicaSuspended, ReplicaResumed, PathLost, FleetSizeChanged, RetrySharersChanged, RetryLimitsChanged, Throttled,
 // UpstreamThrottled, LimitReported, ColdBoundChanged, Suspended, UpstreamsClosed, Stopping, Delayed or Ticked.
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // maxSends is the maximum number of sends of one request, including those that did not run.
@@ -139,7 +137,7 @@
 	switch {
 	case s.isPoison(now, c, crashesToStopRetry), s.hasRefusedPart(now, c):
 		s.giveUp(now, c, Poison, 0)
-	case c.hasPartialAnswer && c.route.Kind() != route.Stream: // only the events of a stream can be continued
+	case !c.isContinuable():
 		s.giveUp(now, c, AttemptsExhausted, 0)
 	case c.runs > 0 && !c.route.Retryable(), c.runs >= c.route.MaxAttempts(), c.sends >= maxSends:
 		s.giveUp(now, c, AttemptsExhausted, s.retryAfter(now, up, c))
@@ -243,7 +241,7 @@
 	if s.mustStay(up, a) {
 		return
 	}
-	isAllowed := c.route.Retryable() && c.runs+1 < c.route.MaxAttempts() && c.sends < maxSends
+	isAllowed := c.route.Retryable() && c.isContinuable() && c.runs+1 < c.route.MaxAttempts() && c.sends < maxSends
 	if a.isCancelled || !isAllowed || !s.reserveRetry(now, c) {
 		return
 	}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -106,6 +106,8 @@
 		s.handleStarted(now, up, e)
 	case FirstEventReceived:
 		s.handleFirstEvent(now, e.attempt)
+	case PositionChanged:
+		s.handlePositionChanged(e)
 	case StreamStalled:
 		s.handleStreamStalled(now, up, e)
 	case Completed:
