replica: Form replicas again that do not serve after a restore

An instance joined another replica while the head of its own served (rule TWO), and a replica stayed closed while its member refused the same join every 300 ms, with a write of the record each time. Cause: a record dissolves a replica, its head closes, and a join of a member is not answered. The store is restored from before that record. The members still report the former replica, so it is recovered and its head opens with the former epoch. No order reaches the member meanwhile, so its fencing token is still older than that of the join, which is carried out seconds later. Afterwards the member refuses joins of the older epoch. Change: a recorded replica from before a restore that does not serve gets a new epoch, and is not opened before. Its members join again, so that they refuse late orders of lost records. The epochs that are skipped after a restore show which replicas these are, also to a new leader.

--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -55,7 +55,7 @@
 
 // advance sends the next orders for one replica: all members join, then the head opens. An evacuated replica stays as it is.
 func (s *State) advance(now time.Time, g group) {
-	if s.hasEvacuated(g) {
+	if s.hasEvacuated(g) || s.mustRejoin(g) {
 		return
 	}
 	ready := true
--- a/pkg/replica/plan.go
+++ b/pkg/replica/plan.go
@@ -51,6 +51,9 @@
 	kept := d.next.groups[:0]
 	for _, g := range d.next.groups {
 		if d.isIntact(g) && !d.mustMove(g) {
+			if d.mustRejoin(g) {
+				g.epoch, d.changed = 0, true
+			}
 			kept = append(kept, g)
 			d.assign(g)
 			continue
--- a/pkg/replica/recovery.go
+++ b/pkg/replica/recovery.go
@@ -62,6 +62,16 @@
 	return epoch
 }
 
+// mustRejoin reports whether the members of g must join it again before it opens, as it was formed before the store was restored.
+// A lost record may have dissolved it, and a late join of that record takes a member that has had no order since.
+func (s *State) mustRejoin(g group) bool {
+	if g.epoch == 0 || g.epoch+epochsPerEra > s.nextEpoch() || s.hasEvacuated(g) {
+		return false
+	}
+	head := s.nodes[g.members[0].id]
+	return head == nil || !head.membership.isIn(g.name, g.epoch) || !head.membership.isServing()
+}
+
 // recoverRecord brings an outdated record up to date with the reports of the instances. It returns false while reports are
 // missing.
 func (s *State) recoverRecord(now time.Time) bool {
--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -51,6 +51,7 @@
 	reported       Membership      // what probes show, with a lag
 	lastMembership Membership      // at the previous step
 	readyIn        map[string]bool // by formationKey
+	unreachable    bool            // it runs on, but neither orders nor probes reach it
 }
 
 // simEvent is a function scheduled for a time.
@@ -80,6 +81,8 @@
 	staleReplies  int
 	refusing      bool // engines that are down refuse connections, instead of being silent
 	closingTime   time.Duration
+	asksAgain     bool // a closing head answers another close with ReplyBegun, and a ready one with ReplyDone
+	aborted       int  // heads that left or were closed while they finished calls
 }
 
 type simDaemon struct {
@@ -87,7 +90,10 @@
 	state  State
 	down   bool
 	listed map[ID]Instance // as last listed to the daemon
-	probes int
+
+	suspended bool
+	held      []Event // that arrived while it is suspended
+	probes    int
 }
 
 func newSimulation(domains, perDomain, daemons int) *simulation {
@@ -246,6 +252,12 @@
 	if d.down {
 		return
 	}
+	if d.suspended {
+		if _, isTick := e.(Ticked); !isTick {
+			d.held = append(d.held, e)
+		}
+		return
+	}
 	for _, effect := range d.state.Reduce(sim.now, e) {
 		sim.apply(d, effect)
 	}
@@ -338,7 +350,7 @@
 	}
 	sim.after(simMessageDelay, func() {
 		e := sim.engine(o.ID())
-		if e == nil || e.down {
+		if e == nil || e.down || e.unreachable {
 			sim.after(500*time.Millisecond, func() { sim.feed(d, NewOrderAnswered(o, ReplyUnanswered)) })
 			return
 		}
@@ -372,6 +384,9 @@
 		return sim.closeHead(e, o)
 	case VerbLeave:
 		if e.membership.isIn(o.Replica(), o.Epoch()) {
+			if e.membership.isServing() {
+				sim.aborted++
+			}
 			e.membership, e.members, e.opening = Membership{}, nil, false
 		}
 	case VerbStage:
@@ -384,10 +399,14 @@
 // closeHead aborts the calls of a head, or lets them run for closingTime.
 func (sim *simulation) closeHead(e *simEngine, o Order) Reply {
 	switch {
+	case sim.asksAgain && e.membership.isIn(o.Replica(), o.Epoch()) && e.membership.phase == PhaseReady:
+		return ReplyDone // an opening in progress continues
 	case !e.membership.isIn(o.Replica(), o.Epoch()) || !e.membership.isServing():
 		return ReplyUnfit // an opening in progress continues
 	case o.Verb() == VerbCloseCut:
+		sim.aborted++
 		e.membership.phase = PhaseReady
+	case sim.asksAgain && e.membership.phase == PhaseClosing:
 	case e.membership.phase == PhaseClosing:
 		return ReplyDone
 	default:
@@ -454,7 +473,7 @@
 		sim.after(simMessageDelay, func() { sim.feed(d, NewProbeFailed(p.ID())) })
 		return
 	}
-	if e.down {
+	if e.down || e.unreachable {
 		sim.after(p.Timeout(), func() { sim.feed(d, NewProbeExpired(p.ID())) })
 		return
 	}
