replica: Keep the time of a close over a suspension of the leader

What a leader knows of heads is discarded when it was suspended or the store was restored, and with it since when they close, so that the calls of a closing head got drainTimeout once more: 3 s in all, of the 2 s for which a leaving instance runs at least. The time is discarded only when the leader changes.

--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -192,7 +192,6 @@
 	clear(s.closed)
 	clear(s.departures)
 	clear(s.nothingToClose)
-	clear(s.closingSince)
 }
 
 func (s *State) forgetClosed(epoch uint64) {
