--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -42,6 +44,13 @@
 		os.Exit(cannotRun)
 	})
 	defer watchdog.Stop()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupts
+		f.stop()
+		os.Exit(cannotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	f.logf("trouble: %v", trouble)
 	isBroken, err := play(f, trouble)
