--- a/review/kit/bodies.go
+++ b/review/kit/bodies.go
@@ -20,7 +20,8 @@
 	bodyDaemons    = 2
 	bodyClients    = 184
 	bodyBursts     = 3
-	bodyDeadline   = 6 * time.Second
+	bodyDeadline   = 8 * time.Second    // that of recipe-draft
+	linkBytesPerS  = 1000 * 1000000 / 8 // link-mbps of a machine
 	restartDelay   = time.Second
 	endsToFault    = 3
 	sampleInterval = 5 * time.Millisecond
@@ -82,7 +83,7 @@
 
 // playBodies has clients send bodies of the largest allowed size: all at once, or without the disruption a few at a time.
 func playBodies(f *fleet, trouble bool) (bool, error) {
-	f.store.set("config", "main", config(1))
+	f.store.set("config", "main", configWithTimeout(1, bodyDeadline))
 	for i := range 3 {
 		if _, err := f.addWorker(fmt.Sprintf("i-%04d", i), 15*time.Millisecond); err != nil {
 			return false, err
@@ -136,18 +137,46 @@
 	return faulty >= 2, nil
 }
 
+// link paces what the clients send to one machine at the rate of its link.
+type link struct {
+	mutex sync.Mutex
+	free  time.Time // when the link has sent what was given to it
+}
+
+// pacedBody is a body that is sent over a link.
+type pacedBody struct {
+	*bytes.Reader
+	link *link
+}
+
+// Read reads at most a few packets and waits until the link has sent them.
+func (b pacedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p[:min(len(p), 16<<10)])
+	b.link.mutex.Lock()
+	if now := time.Now(); b.link.free.Before(now) {
+		b.link.free = now
+	}
+	b.link.free = b.link.free.Add(time.Duration(n) * time.Second / linkBytesPerS)
+	until := b.link.free
+	b.link.mutex.Unlock()
+	time.Sleep(time.Until(until))
+	return n, err
+}
+
 // sendBodies sends one request of each client, and returns how many got each answer.
 func (f *fleet) sendBodies(body []byte, burst, atOnce int) map[string]int {
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	results := map[string]int{}
 	places := make(chan struct{}, atOnce)
+	links := make([]link, len(f.daemons))
 	for i := range bodyClients {
 		places <- struct{}{}
 		group.Go(func() {
 			defer func() { <-places }()
 			d := f.daemons[i%len(f.daemons)]
-			got := f.request(d, http.MethodPost, "/issue/1", fmt.Sprintf("issue-%d-%d", burst, i), bytes.NewReader(body), bodyDeadline)
+			paced := pacedBody{bytes.NewReader(body), &links[i%len(f.daemons)]}
+			got := f.requestWithLength(d, http.MethodPost, "/issue/1", fmt.Sprintf("issue-%d-%d", burst, i), paced, int64(len(body)), bodyDeadline)
 			answer := "no answer"
 			if got.err == nil {
 				answer = strconv.Itoa(got.status)
--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -240,9 +240,14 @@
 
 // config returns a configuration with one route of each kind to a plain service.
 func config(version int) map[string]any {
+	return configWithTimeout(version, timeoutMs*time.Millisecond)
+}
+
+// configWithTimeout returns the configuration with another timeout of the routes.
+func configWithTimeout(version int, timeout time.Duration) map[string]any {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path-prefix": prefix, "type": kind, "timeout-ms": timeoutMs, "goal-ms": 100, "priority": 1,
+			"name": name, "host": host, "path-prefix": prefix, "type": kind, "timeout-ms": timeout.Milliseconds(), "goal-ms": 100, "priority": 1,
 			"service": service, "attempts": attempts, "public": false,
 		}
 	}
--- a/review/kit/idle.go
+++ b/review/kit/idle.go
@@ -26,6 +26,7 @@
 	watchEnds      = 102 * time.Second
 	windowRecover  = 3 * time.Second // stability-window-ms
 	clientsThatTry = 7
+	lateAfter      = 500 * time.Millisecond // of the rule
 	connectTimeout = time.Second
 )
 
@@ -50,18 +51,34 @@
 type try struct {
 	front  string
 	at     time.Duration
-	served bool
+	taken  bool          // the daemon answered, with whatever status
+	served bool          // with a success
+	isSent bool          // the whole request was written to an open connection
+	after  time.Duration // until the answer, if taken
 }
 
+// check is one readiness check of the platform.
+type check struct {
+	at      time.Duration
+	isReady bool
+}
+
+// The ways in which the platform asks whether a machine is ready; the pages name none.
+const (
+	overKeptConnection = iota
+	overNewConnection
+)
+
+var wayNames = [2]string{"over one kept connection", "over a new connection each time"}
+
 type idlePlay struct {
-	fleet   *fleet
-	began   time.Time
-	mutex   sync.Mutex
-	tries   []try
-	readyAt []time.Duration // when the survivor said that it is ready
-	asked   []time.Duration
-	names   []string // the addresses that clients know
-	files   []net.Conn
+	fleet  *fleet
+	began  time.Time
+	mutex  sync.Mutex
+	tries  []try
+	checks [2][]check // of the survivor, by way
+	names  []string   // the addresses that clients know
+	files  []net.Conn
 }
 
 func (p *idlePlay) addresses() []string {
@@ -83,11 +100,13 @@
 		p.files = append(p.files, c)
 		p.mutex.Unlock()
 		_ = c.SetDeadline(time.Now().Add(1500 * time.Millisecond))
-		_, err = fmt.Fprintf(c, "GET /read/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer %s\r\n\r\n",
+		_, err = fmt.Fprintf(c, "POST /issue/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: 0\r\nAuthorization: Bearer %s\r\n\r\n",
 			host, id, key)
-		if err == nil {
+		sentAt := time.Now()
+		if t.isSent = err == nil; t.isSent {
 			response, readErr := http.ReadResponse(bufio.NewReader(c), nil)
-			t.served = readErr == nil && response.StatusCode == http.StatusOK
+			t.taken, t.after = readErr == nil, time.Since(sentAt)
+			t.served = t.taken && response.StatusCode == http.StatusOK
 			err = readErr
 		}
 		if err != nil {
@@ -102,26 +121,24 @@
 }
 
 // checkReady asks the survivor once a second whether it is ready, as the platform does.
-func (p *idlePlay) checkReady(d *daemon, stop chan struct{}) {
-	client := http.Client{Timeout: time.Second}
+func (p *idlePlay) checkReady(d *daemon, way int, stop chan struct{}) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: way == overNewConnection}}
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Second):
+		case <-ticker.C:
 		}
-		at := time.Since(p.began)
+		c := check{at: time.Since(p.began)}
 		response, err := client.Get("http://" + d.ready + "/api/readyz")
-		status := 0
 		if err == nil {
-			status = response.StatusCode
+			c.isReady = response.StatusCode == http.StatusOK
 			_ = response.Body.Close()
 		}
 		p.mutex.Lock()
-		p.asked = append(p.asked, at)
-		if status == http.StatusOK {
-			p.readyAt = append(p.readyAt, at)
-		}
+		p.checks[way] = append(p.checks[way], c)
 		p.mutex.Unlock()
 	}
 }
@@ -184,7 +201,8 @@
 	survivor, others := f.daemons[idleDaemons-1], f.daemons[:idleDaemons-1]
 	p := &idlePlay{fleet: f, began: time.Now()}
 	stop := make(chan struct{})
-	go p.checkReady(survivor, stop)
+	go p.checkReady(survivor, overKeptConnection, stop)
+	go p.checkReady(survivor, overNewConnection, stop)
 	go p.resolve(stop)
 	isDown, isUp, ended := false, false, false
 	f.quiet.Store(true)
@@ -221,7 +239,7 @@
 		if elapsed < trafficEnds && time.Now().After(next) {
 			next = next.Add(time.Second / requestsPerS)
 			count++
-			go p.send(fmt.Sprintf("read-%d", count))
+			go p.send(fmt.Sprintf("issue-%d", count))
 			continue
 		}
 		if elapsed >= trafficEnds && !ended {
@@ -237,10 +255,15 @@
 	return p.judge(survivor), nil
 }
 
-func (p *idlePlay) isReadyNow() bool {
+// isReadyNow returns the last answers to the readiness checks.
+func (p *idlePlay) isReadyNow() [2]bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.readyAt) > 0 && time.Since(p.began)-p.readyAt[len(p.readyAt)-1] < 2500*time.Millisecond
+	var last [2]bool
+	for way, checks := range p.checks {
+		last[way] = len(checks) > 0 && checks[len(checks)-1].isReady
+	}
+	return last
 }
 
 // answered returns how many requests got a success so far.
@@ -256,45 +279,70 @@
 	return count
 }
 
-// judge looks for a span of windowRecover in which the survivor said that it is ready, and served no new connection though clients tried.
+// judge counts the requests to the survivor that were unanswered at the timeout of their route, and those of them without an answer half a
+// second later. It also records for how long the survivor said that it is ready and took no new connection, in each way of asking.
 func (p *idlePlay) judge(survivor *daemon) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	slices.SortFunc(p.tries, func(a, b try) int { return int(a.at - b.at) })
-	longest, longestFrom, longestTries := time.Duration(0), time.Duration(0), 0
-	from, tries := time.Duration(-1), 0
-	end := func(to time.Duration) {
-		isReady := len(p.readyAt) > 0
-		for _, at := range p.asked {
-			if at >= from && at <= to && !slices.Contains(p.readyAt, at) {
-				isReady = false
-			}
+	var tries []try
+	served, taken := 0, 0
+	for _, t := range p.tries {
+		if t.front == survivor.front {
+			tries = append(tries, t)
 		}
-		if from >= 0 && isReady && tries >= clientsThatTry && to-from > longest {
-			longest, longestFrom, longestTries = to-from, from, tries
+		if t.front == survivor.front && t.served {
+			served++
+		}
+		if t.front == survivor.front && t.taken {
+			taken++
 		}
 	}
-	served := 0
-	for _, t := range p.tries {
-		if t.front != survivor.front {
-			continue
+	p.fleet.logf("%d requests, %d of them sent to %s, which served %d and answered %d", len(p.tries), len(tries), survivor.name, served, taken)
+	for way, checks := range p.checks {
+		longest, from, count := longestSpan(checks, tries)
+		p.fleet.logf("asked %s: the longest span in which it was ready at each check and took no new connection: %.1f s from %.1f s, %d tries",
+			wayNames[way], longest.Seconds(), from.Seconds(), count)
+		p.fleet.logf("RECOVER, which is not the verdict, would be broken: %v", longest >= windowRecover)
+	}
+	unanswered, late := 0, 0
+	for _, t := range tries {
+		if t.isSent && (!t.taken || t.after > timeoutMs*time.Millisecond) {
+			unanswered++
 		}
-		if t.served {
-			end(t.at)
-			from, tries = t.at, 0
-			served++
-			continue
+		if t.isSent && (!t.taken || t.after > timeoutMs*time.Millisecond+lateAfter) {
+			late++
 		}
-		tries++
 	}
-	if len(p.tries) > 0 {
-		end(p.tries[len(p.tries)-1].at)
+	p.fleet.logf("%d requests at %s were unanswered at timeout-ms, %d of them had no answer half a second later", unanswered, survivor.name, late)
+	if 2*late > unanswered {
+		p.fleet.logf("CONFIG: more than half of the requests that are unanswered at their timeout-ms have no answer half a second later")
 	}
-	p.fleet.logf("%d requests, %d served by %s on new connections", len(p.tries), served, survivor.name)
-	p.fleet.logf("the longest span in which %s said that it is ready and served no new connection though clients tried: %.1f s from %.1f s, %d tries",
-		survivor.name, longest.Seconds(), longestFrom.Seconds(), longestTries)
-	if longest >= windowRecover {
-		p.fleet.logf("RECOVER: a machine in touch that says it is ready takes no new connection for %v, while %d clients try", longest, longestTries)
+	return 2*late > unanswered
+}
+
+// longestSpan returns the longest span between two checks, with no other answer than that the machine is ready from the first to the last
+// and no answer on a connection that was opened meanwhile, in which enough clients tried.
+func longestSpan(checks []check, tries []try) (longest, from time.Duration, count int) {
+	for i, first := range checks {
+		for _, last := range checks[i:] {
+			if !first.isReady || !last.isReady {
+				break
+			}
+			tried, isTaken := 0, false
+			for _, t := range tries {
+				if t.at >= first.at && t.at <= last.at {
+					tried++
+					isTaken = isTaken || t.taken
+				}
+			}
+			if isTaken {
+				break
+			}
+			if tried >= clientsThatTry && last.at-first.at > longest {
+				longest, from, count = last.at-first.at, first.at, tried
+			}
+		}
 	}
-	return longest >= windowRecover
+	return longest, from, count
 }
--- a/review/kit/stamp.go
+++ b/review/kit/stamp.go
@@ -20,6 +20,11 @@
 
 // request sends one request of a client on a new connection.
 func (f *fleet) request(d *daemon, method, path, id string, body io.Reader, timeout time.Duration) answered {
+	return f.requestWithLength(d, method, path, id, body, 0, timeout)
+}
+
+// requestWithLength sends one request with a body of a length, 0 if body says it.
+func (f *fleet) requestWithLength(d *daemon, method, path, id string, body io.Reader, length int64, timeout time.Duration) answered {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	client := http.Client{Transport: transport, Timeout: timeout}
 	r, err := http.NewRequest(method, "http://"+d.front+path, body)
@@ -27,6 +32,9 @@
 		return answered{err: err}
 	}
 	r.Host = host
+	if length > 0 {
+		r.ContentLength = length
+	}
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+key)
