gateway, dispatch, platform: Replace misleading failures whole

Cause: the status of the kept answer was replaced, and the rest of it kept.

Change: the adapter marks an error whose status says that the request did not run (408, 429, 503). Its body is discarded, and the attempt is reported as one whose error response can't be forwarded. The reducer retries as before, and otherwise ends the call with a failure of the daemon.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,16 +45,6 @@
 	_, _ = newCallerWriter(w).Write(a.body) // the request's context reports a disconnected caller to the reducer
 }
 
-// asOneThatRan returns the error answer of an upstream that ran the request, without what would tell the caller that it did not run.
-func (a *bufferedAnswer) asOneThatRan() *bufferedAnswer {
-	if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
-		return a
-	}
-	header := a.header.Clone()
-	header.Del("Retry-After")
-	return &bufferedAnswer{http.StatusBadGateway, header, a.body}
-}
-
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
@@ -83,6 +73,9 @@
 		e.daemon.enqueue(gateway.NewLeavingReported(replica.ID(send.Upstream())))
 	}
 	switch {
+	case class.Failure == dispatch.Errored && class.Misleading:
+		e.discardError(send, answer, class)
+		return false
 	case class.Failure == dispatch.Errored:
 		return e.bufferError(ctx, send, answer, class)
 	case class.Failure != dispatch.NoFailure:
@@ -168,6 +161,16 @@
 	e.daemon.enqueueDispatch(dispatch.NewFailed(send.Attempt(), class.Failure).WithFault(class.FaultyUpstream, class.Load))
 }
 
+// discardError discards the body of an error answer that must not be forwarded, and reports it. The caller gets an answer of the daemon
+// instead, which contains no part of this one.
+func (e *exchange) discardError(send dispatch.Send, answer *transport.Exchange, class Classification) {
+	e.daemon.log.Info("upstream", "error not forwarded, as its status says that the request did not run",
+		"id", e.name, "upstream", send.Upstream(), "status", answer.Response.StatusCode)
+	answer.Drain(maxRejectionBytes, maxRejectionTime)
+	failed := dispatch.NewFailed(send.Attempt(), dispatch.Errored).WithFault(class.FaultyUpstream, class.Load)
+	e.daemon.enqueueDispatch(failed.WithUnusableAnswer())
+}
+
 // bufferError buffers an error answer, which may be forwarded to the caller, and reports it.
 func (e *exchange) bufferError(
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -147,7 +147,7 @@
 	case dispatch.Fail:
 		e.writeFailure(effect)
 	case dispatch.ForwardFailure:
-		e.buffered.asOneThatRan().writeTo(e.answerWriter(), e.request)
+		e.buffered.writeTo(e.answerWriter(), e.request)
 	case dispatch.Drop:
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -64,6 +64,7 @@
 	lastEventID      string
 	faultyUpstream   string
 	load             Load
+	isAnswerUnusable bool
 }
 
 // NewFailed returns the event of a failed attempt.
@@ -93,6 +94,12 @@
 	return f
 }
 
+// WithUnusableAnswer returns the event for an error response that the driver does not keep, since it must not or cannot be forwarded.
+func (f Failed) WithUnusableAnswer() Failed {
+	f.isAnswerUnusable = true
+	return f
+}
+
 // Throttled reports that the upstream of an attempt throttles this daemon.
 type Throttled struct {
 	attempt AttemptID
--- a/pkg/dispatch/failure.go
+++ b/pkg/dispatch/failure.go
@@ -13,7 +13,7 @@
 	NotRun
 	// Misdirected means that the address belongs to another upstream.
 	Misdirected
-	// Errored means that the upstream ran the request and returned an error response, which the driver keeps.
+	// Errored means that the upstream ran the request and returned an error response, which the driver keeps if it can be forwarded.
 	Errored
 	// Garbled means that the response was incomplete or invalid.
 	Garbled
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -85,7 +85,7 @@
 	}
 	s.removeAttempt(now, a)
 	s.recordFailure(now, up, a, e)
-	c.hasErrorResponse = e.failure == Errored
+	c.hasErrorResponse = e.failure == Errored && !e.isAnswerUnusable
 	if e.hasPartialAnswer {
 		c.hasPartialAnswer, c.lastEventID = true, e.lastEventID
 	}
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -85,6 +85,18 @@
 		sim.run(time.Second)
 		So(sim.forwarded[1], ShouldBeTrue)
 	})
+
+	Convey("An error response that the driver did not keep is replaced by a failure that does not say that the call did not run", t, func() {
+		sim := newSimulation(1, 1)
+		sim.arrive(1, "large", "/issue/x")
+		sim.run(10 * time.Millisecond)
+		sim.feed(NewFailed(sim.onlyAttempt().Attempt(), Errored).WithUnusableAnswer())
+		sim.run(time.Second)
+		So(sim.sends[1], ShouldEqual, 1)
+		So(sim.forwarded[1], ShouldBeFalse)
+		So(sim.refused[1], ShouldBeFalse)
+		So(sim.failed, ShouldContainKey, ID(1))
+	})
 }
 
 func TestFailureWithinBufferedAnswer(t *testing.T) {
