gateway: Add no media type to answers

Callers got a Content-Type that the upstream had not sent: the HTTP server guesses one from the first bytes of a body. The way through a peer prevents that already; the way to the caller did not.

TestGuessedMediaType failed before on failures, calls and streams, directly and through a peer, and passes now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,9 @@
 	_, _ = newCallerWriter(w).Write(a.body) // the request's context reports a disconnected caller to the reducer
 }
 
+// copyHeader copies the headers of an upstream's answer. net/http must not guess a media type that the upstream did not state.
 func copyHeader(to, from http.Header) {
+	to["Content-Type"] = nil
 	for name, values := range from {
 		to[name] = values
 	}
