gateway, memory, commands: Bound the memory for endless answers

The platform kills such a process, and the calls of all its callers end.

Cause: the limits counted the bytes that were read, not what they took. A body grew in a buffer that doubles, so that the old and the new one were held at once and became garbage; what was read of a success that was forwarded as it arrives was held until its end; events had a limit each and none for all of them; and the garbage collector ran at twice the live memory, as the memory of the instance, which the settings state, was not read.

Change: pools for answers and events with shares of memory-mb. Bodies are held in parts that are taken from the pool before they are read, given back as they are written, and used again. Holders of more than 64 KB leave half of a pool to others. A success that finds no memory is forwarded as it arrives; an error is replaced by a failure of the daemon, and no longer counts as a crash of the upstream; an event ends its stream, which continues elsewhere if it may be resumed. Streams use one buffer for all their events. The Go runtime collects garbage more often above 0.65 of memory-mb.

--- a/internal/commands/gateway.go
+++ b/internal/commands/gateway.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -39,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(loaded.Daemon())
 	ctx, stop := withStopSignals(ctx)
 	defer stop()
 	d, err := gateway.New(loaded.Daemon(), platform.New(loaded), logs)
@@ -83,10 +86,24 @@
 			klog.ErrorS(err, "daemon: settings not reloaded, the previous settings remain in effect")
 			continue
 		}
+		limitMemory(loaded.Daemon())
 		d.Reload(loaded.Daemon())
 	}
 }
 
+// runtimeMemoryShare is the part of an instance's memory at which the Go runtime collects garbage more often. The rest is for the
+// program itself, for stacks, and for what is allocated while garbage is collected.
+const runtimeMemoryShare = 0.65
+
+// limitMemory sets the memory limit of the Go runtime by that of the instance.
+func limitMemory(s gateway.Settings) {
+	limit := int64(math.MaxInt64) // none
+	if s.MemoryBytes > 0 {
+		limit = int64(runtimeMemoryShare * float64(s.MemoryBytes))
+	}
+	debug.SetMemoryLimit(limit)
+}
+
 // modTime returns the modification time of the settings file, or the zero time if it can't be read.
 func (c *gatewayCommand) modTime() time.Time {
 	info, err := os.Stat(c.Config)
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -97,4 +97,5 @@
 	DirectoryAddress string // for callers that request the address list
 	MetricsAddress   string
 	RelayAddress     string // for requests that the daemon passes on for its peers
+	MemoryBytes      int64  // of the instance, 0 if unknown
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,15 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/azurepond/azurepond/internal/memory"
 	hop "github.com/azurepond/azurepond/internal/relay"
 	"github.com/azurepond/azurepond/internal/transport"
 	"github.com/azurepond/azurepond/pkg/dispatch"
@@ -19,30 +18,21 @@
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
-// The limits of what is buffered of answers before their heads are forwarded.
-const (
-	maxAnswerBytes   = 16 << 20 // of one answer
-	maxBufferedBytes = 48 << 20 // of all answers together; a quarter of the memory of a small instance
-	answerChunkBytes = 32 << 10 // that are read at once
-)
-
-var errAnswerTooLarge = errors.New("error answer exceeds the size limit")
-
 // bufferedAnswer is an answer that was read completely.
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *memory.Buffer
 }
 
 // writeTo writes the answer to the caller.
 func (a *bufferedAnswer) writeTo(w http.ResponseWriter, r *http.Request) {
 	copyHeader(w.Header(), a.header)
 	if isUnframed(r) && r.Method != http.MethodHead {
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.Header().Set("Content-Length", strconv.Itoa(a.body.Len()))
 	}
 	w.WriteHeader(a.status)
-	_, _ = newCallerWriter(w).Write(a.body) // the request's context reports a disconnected caller to the reducer
+	_, _ = a.body.WriteTo(newCallerWriter(w)) // the request's context reports a disconnected caller to the reducer
 }
 
 // copyHeader copies the headers of an upstream's answer. net/http must not guess a media type that the upstream did not state.
@@ -57,6 +47,7 @@
 func (e *exchange) runAttempt(send dispatch.Send) bool {
 	ctx := e.daemon.attemptContext(send.Attempt())
 	defer e.daemon.removeAttempt(send.Attempt())
+	e.discardKept() // the reducer forwards only the failure of the last attempt
 	if e.request.Context().Err() != nil {
 		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
 		e.reportFailure(ctx, dispatch.NewFailed(send.Attempt(), dispatch.NotSent))
@@ -178,16 +169,21 @@
 	ctx context.Context, send dispatch.Send, answer *transport.Exchange, class Classification,
 ) bool {
 	body, isWhole, err := e.readAnswer(answer.Response.Body)
-	if err == nil && !isWhole {
-		err = fmt.Errorf("%w: content length %d, limit %d bytes, %d of all answers",
-			errAnswerTooLarge, answer.Response.ContentLength, maxAnswerBytes, maxBufferedBytes)
-	}
-	if err != nil {
+	switch {
+	case err != nil:
+		body.Free()
 		e.reportTruncated(ctx, send, answer, err)
-		return false
+	case !isWhole:
+		body.Free()
+		answer.Abort()
+		e.daemon.log.Info("upstream", "error not forwarded, as it exceeds the memory for answers",
+			"id", e.name, "upstream", send.Upstream(), "status", answer.Response.StatusCode, "length", answer.Response.ContentLength)
+		failed := dispatch.NewFailed(send.Attempt(), dispatch.Errored).WithFault(class.FaultyUpstream, class.Load)
+		e.daemon.enqueueDispatch(failed.WithUnusableAnswer())
+	default:
+		e.keepAnswer(answer, body)
+		e.daemon.enqueueDispatch(dispatch.NewFailed(send.Attempt(), dispatch.Errored).WithFault(class.FaultyUpstream, class.Load))
 	}
-	e.keepAnswer(answer, body)
-	e.daemon.enqueueDispatch(dispatch.NewFailed(send.Attempt(), dispatch.Errored).WithFault(class.FaultyUpstream, class.Load))
 	return false
 }
 
@@ -198,6 +194,7 @@
 ) bool {
 	body, isWhole, err := e.readAnswer(answer.Response.Body)
 	if err != nil {
+		body.Free()
 		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
@@ -214,11 +211,17 @@
 // forwardLarge forwards the first bytes of an answer, which were read already, and then the rest as it arrives. If it fails,
 // the caller's connection is aborted, so that the answer does not look complete.
 func (e *exchange) forwardLarge(
-	ctx context.Context, send dispatch.Send, answer *transport.Exchange, first []byte, class Classification,
+	ctx context.Context, send dispatch.Send, answer *transport.Exchange, first *memory.Buffer, class Classification,
 ) bool {
 	e.daemon.enqueueDispatch(dispatch.NewStarted(send.Attempt(), class.Load))
+	defer first.Free()
 	e.writeHead(answer.Response)
-	if _, err := io.Copy(newCallerWriter(e.writer), io.MultiReader(bytes.NewReader(first), answer.Response.Body)); err != nil {
+	caller := newCallerWriter(e.writer)
+	_, err := first.WriteTo(caller)
+	if err == nil {
+		_, err = io.Copy(caller, answer.Response.Body)
+	}
+	if err != nil {
 		e.reportTruncated(ctx, send, answer, err)
 		return false
 	}
@@ -228,23 +231,11 @@
 	return true
 }
 
-// readAnswer reads a body until its end or until a limit is exceeded, and reports whether it was read completely. What it read counts
-// towards the limit of all answers until the exchange ends.
-func (e *exchange) readAnswer(body io.Reader) (data []byte, isWhole bool, err error) {
-	var read bytes.Buffer
-	for {
-		n, err := io.CopyN(&read, body, answerChunkBytes)
-		e.bufferedBytes += n
-		total := e.daemon.bufferedBytes.Add(n)
-		switch {
-		case errors.Is(err, io.EOF):
-			return read.Bytes(), read.Len() <= maxAnswerBytes, nil
-		case err != nil:
-			return read.Bytes(), false, err
-		case read.Len() > maxAnswerBytes || total > maxBufferedBytes:
-			return read.Bytes(), false, nil
-		}
-	}
+// readAnswer reads a body until its end, or until it exceeds the memory for answers, and reports whether it was read completely.
+func (e *exchange) readAnswer(body io.Reader) (held *memory.Buffer, isWhole bool, err error) {
+	held = memory.NewBuffer(&e.daemon.memory.answers)
+	isWhole, err = held.ReadAll(body, e.daemon.memory.maxAnswerBytes())
+	return held, isWhole, err
 }
 
 // reportTruncated reports an attempt whose answer could not be read or forwarded completely.
@@ -262,6 +253,8 @@
 	case errors.As(err, &callerError{}):
 		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
 		failed = failed.WithFailure(dispatch.Halted)
+	case errors.Is(err, errEventMemory):
+		failed = failed.WithFailure(dispatch.Halted)
 	case ctx.Err() == nil && hop.IsLost(err):
 		e.daemon.enqueueRelay(relay.NewFailed(e.via.Name(), send.Upstream(), relay.NoRelay))
 		failed = failed.WithFailure(dispatch.RelayLost)
@@ -270,9 +263,18 @@
 }
 
 // keepAnswer keeps an answer whose body was read completely, and ends the exchange.
-func (e *exchange) keepAnswer(answer *transport.Exchange, body []byte) {
+func (e *exchange) keepAnswer(answer *transport.Exchange, body *memory.Buffer) {
 	header := answer.Response.Header.Clone()
 	e.daemon.adapter.Headers.RemoveHopHeaders(header)
+	e.discardKept()
 	e.buffered = &bufferedAnswer{answer.Response.StatusCode, header, body}
 	answer.Close()
 }
+
+// discardKept discards the answer that is kept, if there is one.
+func (e *exchange) discardKept() {
+	if e.buffered != nil {
+		e.buffered.body.Free()
+		e.buffered = nil
+	}
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -44,8 +44,6 @@
 	via         relay.Peer      // that passes the present attempt on, the zero value if none does
 
 	isPositionUnknown bool // an event with content and without an id was sent after lastEventID
-
-	bufferedBytes int64 // of the daemon's that this exchange takes
 }
 
 // callerServer returns the HTTP server for callers.
@@ -116,10 +114,10 @@
 }
 
 func (d *Daemon) unregister(e *exchange) {
+	e.discardKept()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	delete(d.exchanges, e.id)
-	d.bufferedBytes.Add(-e.bufferedBytes)
 }
 
 // serve executes the effects of the request until the request has ended.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -45,7 +45,7 @@
 	config            atomic.Pointer[route.Config]
 	lastRequestID     atomic.Uint64
 	lastRelayID       atomic.Uint64
-	bufferedBytes     atomic.Int64 // of answers
+	memory            memoryPools
 	ctx               context.Context
 	cancel            context.CancelFunc
 	servers           []*http.Server     // those that Run started
@@ -72,6 +72,7 @@
 		exchanges: map[dispatch.ID]*exchange{}, attempts: map[dispatch.AttemptID]attemptWork{},
 		relayed: map[gateway.RelayID]chan gateway.RelayDecided{},
 	}
+	d.memory.setLimits(s.MemoryBytes)
 	d.addresses.Store(&[]gateway.Address{})
 	d.config.Store(&route.Config{})
 	hub, err := link.New(s.Name, s.PeerAddress, link.TLSFiles{}, registry, func(e peer.Event) {
@@ -88,6 +89,7 @@
 // Reload applies new settings, except the addresses, which are fixed while the process runs.
 func (d *Daemon) Reload(s Settings) {
 	d.log.Info("daemon", "reload", "name", s.Name)
+	d.memory.setLimits(s.MemoryBytes)
 	d.enqueue(gateway.NewReloaded(s.Gateway))
 }
 
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -40,7 +40,7 @@
 	} {
 		Convey("A stream that goes on with endless "+name+" is broken off", t, func() {
 			body := &endless{text: text}
-			e := &exchange{writer: httptest.NewRecorder(), headSent: true, lastEventID: "2"}
+			e := &exchange{daemon: &Daemon{}, writer: httptest.NewRecorder(), headSent: true, lastEventID: "2"}
 			first := strings.NewReader("id: 3\ndata: a\n\n")
 			response := &http.Response{Body: io.NopCloser(io.MultiReader(first, body)), ContentLength: -1}
 			So(e.relay(&transport.Exchange{Response: response}, func(bool) {}, func(bool) {}), ShouldNotBeNil)
@@ -64,29 +64,61 @@
 func (plainHeaders) RemoveHopHeaders(http.Header) {}
 
 func TestEndlessBodies(t *testing.T) {
+	const instanceBytes = 184 << 20
 	Convey("Endless bodies of several answers at once take a bounded amount of memory", t, func() {
 		d := &Daemon{}
+		d.memory.setLimits(instanceBytes)
 		total := 0
 		for range 32 {
 			e := &exchange{daemon: d}
-			data, isWhole, err := e.readAnswer(&endless{text: "x"})
+			held, isWhole, err := e.readAnswer(&endless{text: "x"})
 			So(err, ShouldBeNil)
 			So(isWhole, ShouldBeFalse)
-			total += len(data)
+			total += held.Len()
 		}
-		So(total, ShouldBeLessThanOrEqualTo, maxBufferedBytes+32*answerChunkBytes)
+		So(total, ShouldBeLessThanOrEqualTo, instanceBytes*12/100+32*answerChunkBytes)
+	})
+
+	Convey("Short answers are held while endless ones take their part of the memory", t, func() {
+		d := &Daemon{}
+		d.memory.setLimits(instanceBytes)
+		for range 32 {
+			_, _, _ = (&exchange{daemon: d}).readAnswer(&endless{text: "x"})
+		}
+		_, isWhole, err := (&exchange{daemon: d}).readAnswer(strings.NewReader(strings.Repeat("x", 48<<10)))
+		So(err, ShouldBeNil)
+		So(isWhole, ShouldBeTrue)
 	})
 
 	Convey("The memory is available again when the exchange ends", t, func() {
 		d := &Daemon{}
-		for range 8 {
+		d.memory.setLimits(instanceBytes)
+		size := d.memory.maxAnswerBytes()
+		for range 32 {
 			e := &exchange{daemon: d}
-			data, isWhole, err := e.readAnswer(strings.NewReader(strings.Repeat("x", maxAnswerBytes)))
+			held, isWhole, err := e.readAnswer(strings.NewReader(strings.Repeat("x", size)))
 			So(err, ShouldBeNil)
 			So(isWhole, ShouldBeTrue)
-			So(len(data), ShouldEqual, maxAnswerBytes)
+			So(held.Len(), ShouldEqual, size)
+			e.buffered = &bufferedAnswer{body: held}
 			d.unregister(e)
 		}
-		So(d.bufferedBytes.Load(), ShouldEqual, 0)
+		So(d.memory.answers.Usage().Used(), ShouldEqual, 0)
+	})
+
+	Convey("The memory for events is available again when the stream ends", t, func() {
+		d := &Daemon{}
+		d.memory.setLimits(instanceBytes)
+		for range 32 {
+			reader := newEventReader(&endless{text: "data: x\n"}, &d.memory.events)
+			_, _, err := reader.next()
+			So(err, ShouldEqual, errEventTooLong)
+			reader.free()
+		}
+		So(d.memory.events.Usage().Used(), ShouldEqual, 0)
+		So(d.memory.events.Usage().Peak(), ShouldBeGreaterThan, 0)
 	})
 }
+
+// answerChunkBytes is more than an answer takes before it draws on the memory for all of them.
+const answerChunkBytes = 32 << 10
--- a/internal/gateway/stallclock_test.go
+++ b/internal/gateway/stallclock_test.go
@@ -62,7 +62,7 @@
 		for body, events := range map[string]int{
 			"id: 3\ndata: a\n\nid: 4\ndata: b\n\n": 2, "id: 3\n\n": 1, "data: a\n\n": 1, ": ping\n\n\n:\n\n": 0, "event: ping\n\n": 0,
 		} {
-			e := &exchange{writer: httptest.NewRecorder(), headSent: true}
+			e := &exchange{daemon: &Daemon{}, writer: httptest.NewRecorder(), headSent: true}
 			response := &http.Response{Body: io.NopCloser(strings.NewReader(body)), TransferEncoding: []string{"chunked"}}
 			count := 0
 			So(e.relay(&transport.Exchange{Response: response}, func(bool) { count++ }, func(bool) {}), ShouldBeNil)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -34,18 +33,9 @@
 	t.last = now
 }
 
-// The limits of the events of a stream.
-const (
-	maxEventBytes      = 1 << 20
-	maxEventsWithoutID = 1024 // in a row, if they have no data or earlier ones had ids
-)
-
 var (
-	errTruncatedEvent  = errors.New("stream ended within an event")
 	errEventOrder      = errors.New("event id does not follow the previous one")
-	errMalformedEvent  = errors.New("event has a line that is no field")
 	errEmptyStream     = errors.New("stream ended without an event")
-	errEventTooLong    = errors.New("event exceeds the size limit")
 	errEventsWithoutID = errors.New("too many events without an id")
 	errNotContinuation = errors.New("answer does not continue the stream")
 )
@@ -96,12 +86,13 @@
 // relay copies events to the caller. It calls onEvent after each one that has an id or data, and onPosition when the position of the stream
 // becomes known or unknown.
 func (e *exchange) relay(answer *transport.Exchange, onEvent, onPosition func(bool)) error {
-	reader := bufio.NewReader(answer.Response.Body)
+	reader := newEventReader(answer.Response.Body, &e.daemon.memory.events)
+	defer reader.free()
 	caller := newCallerWriter(e.writer)
 	first, withoutID := true, 0
 	isContinued := e.lastEventID == "" // the next event with an id tells whether the answer continues the stream
 	for {
-		event, id, err := readEvent(reader)
+		event, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			if first && !(e.headSent && isFramed(answer.Response)) {
 				return errEmptyStream
@@ -190,39 +181,6 @@
 	e.writer.WriteHeader(response.StatusCode)
 }
 
-// readEvent returns the next complete event, including its final empty line, and its id. It returns io.EOF only between
-// events.
-func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
-	start := 0 // of the last line
-	for {
-		part, err := reader.ReadSlice('\n')
-		event = append(event, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(event) > 0 {
-			return nil, "", errTruncatedEvent
-		}
-		if err != nil {
-			return nil, "", err
-		}
-		if len(event) > maxEventBytes {
-			return nil, "", errEventTooLong
-		}
-		line := event[start:]
-		start = len(event)
-		if !isEventLine(line) {
-			return nil, "", errMalformedEvent
-		}
-		if value, isID := bytes.CutPrefix(line, []byte("id:")); isID {
-			id = string(bytes.TrimSpace(value))
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, id, nil
-		}
-	}
-}
-
 // isEventLine reports whether a line is empty, a comment or a field. The names of fields are in lower case, unlike those in the head of an
 // answer, which a faulty upstream may write after a part of a stream.
 func isEventLine(line []byte) bool {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -20,7 +19,7 @@
 // relayBody returns what a caller receives of an upstream's stream, and nil if the stream counts as complete.
 func relayBody(body string, framed bool, last string) (string, error) {
 	recorder := httptest.NewRecorder()
-	e := &exchange{writer: recorder, headSent: true, lastEventID: last}
+	e := &exchange{daemon: &Daemon{}, writer: recorder, headSent: true, lastEventID: last}
 	response := &http.Response{Body: io.NopCloser(strings.NewReader(body)), ContentLength: -1}
 	if framed {
 		response.TransferEncoding = []string{"chunked"}
@@ -162,7 +161,7 @@
 	Convey("A line longer than the buffer is one line, whatever its parts look like", t, func() {
 		for _, rest := range []string{"", "id: 7", "Failed"} {
 			longEvent := "id: 1\n:" + strings.Repeat("x", 4095) + rest + "\n\n"
-			event, id, err := readEvent(bufio.NewReader(strings.NewReader(longEvent)))
+			event, id, err := newEventReader(strings.NewReader(longEvent), nil).next()
 			So(err, ShouldBeNil)
 			So(id, ShouldEqual, "1")
 			So(len(event), ShouldEqual, len(longEvent))
@@ -171,7 +170,7 @@
 
 	Convey("Fields in lower case, comments and fields without a value are lines of an event", t, func() {
 		stream := "x-weight-versions: 5\r\n: note\r\nid: 1\r\ndata\r\nretry:9\r\nevent:\r\n\r\n"
-		event, id, err := readEvent(bufio.NewReader(strings.NewReader(stream)))
+		event, id, err := newEventReader(strings.NewReader(stream), nil).next()
 		So(err, ShouldBeNil)
 		So(id, ShouldEqual, "1")
 		So(string(event), ShouldEqual, stream)
@@ -179,7 +178,7 @@
 
 	Convey("An event longer than the buffer is read completely", t, func() {
 		longEvent := "id: 1\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
-		event, id, err := readEvent(bufio.NewReader(strings.NewReader(longEvent)))
+		event, id, err := newEventReader(strings.NewReader(longEvent), nil).next()
 		So(err, ShouldBeNil)
 		So(id, ShouldEqual, "1")
 		So(string(event), ShouldEqual, longEvent)
