gateway, relay, memory: Bound the memory for request bodies

Each body was read whole as it arrived, with a limit for one and none for all; bodies of peers likewise.

Bodies are taken from a pool before they are read. A body whose stated length exceeds the limit is refused before it is read.

--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azurepond/azurepond/internal/memory"
+)
+
+// maxBodyBytes limits bodies without a configuration that does.
+const maxBodyBytes = 16 << 20
+
+// The limits of the wait for the memory for a body. Callers give up a request that may be repeated if it is not read after a second or a
+// third of their time; the others wait.
+const (
+	maxBodyWait        = 800 * time.Millisecond
+	maxOnceBodyWait    = 5 * time.Second
+	bodyWaitShare      = 0.25 // of the caller's time
+	onceBodyWaitShare  = 0.5
+	maxRelayedBodyWait = 100 * time.Millisecond // another peer may have memory
+)
+
+// bodyRetryAfter is the Retry-After time of a request whose body finds no memory: that of the wait once more.
+const bodyRetryAfter = maxBodyWait
+
+// readBody reads a complete body within the limit of the configuration. Its memory must be freed.
+func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request) (*memory.Body, error) {
+	if r.ContentLength == 0 {
+		return &memory.Body{}, nil
+	}
+	limit := d.config.Load().Limits().MaxBodyBytes()
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d.bodyWait(r))
+	defer cancel()
+	return memory.ReadBody(ctx, &d.memory.requests, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+}
+
+// bodyWait returns how long a request may wait for the memory for its body.
+func (d *Daemon) bodyWait(r *http.Request) time.Duration {
+	wait, share := maxBodyWait, bodyWaitShare
+	if matched, isKnown := d.config.Load().Match(r.Host, r.URL.Path); isKnown && !matched.Retryable() {
+		wait, share = maxOnceBodyWait, onceBodyWaitShare
+	}
+	if timeout := d.adapter.Headers.ParseRequest(0, r, 0).Timeout(); timeout > 0 {
+		wait = min(wait, time.Duration(share*float64(timeout)))
+	}
+	return wait
+}
+
+// refuseBody answers a request whose body was not read completely, or aborts its connection.
+func (d *Daemon) refuseBody(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		d.log.Info("caller", "body too large", "limit", tooLarge.Limit)
+		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+	case errors.Is(err, memory.ErrNoMemory):
+		d.log.Info("caller", "body refused", "err", err.Error())
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		w.Header().Set("Retry-After", strconv.FormatFloat(bodyRetryAfter.Seconds(), 'f', 2, 64))
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		d.log.Info("caller", "cannot read body", "err", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// ReadBody reads the body of a request of a peer.
+func (d relayDriver) ReadBody(r *http.Request, limit int64) (*memory.Body, error) {
+	if r.ContentLength == 0 {
+		return &memory.Body{}, nil
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), maxRelayedBodyWait)
+	defer cancel()
+	return memory.ReadBody(ctx, &d.memory.requests, r.Body, r.ContentLength, limit)
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,12 +12,11 @@
 	"github.com/azurepond/azurepond/pkg/relay"
 )
 
-// The limits of callers' connections; a configuration overrides the limit of bodies.
+// The limits of callers' connections.
 const (
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second // longer than any known idle timeout of callers
 	maxHeaderBytes = 64 << 10
-	maxBodyBytes   = 16 << 20
 )
 
 // maxPendingEffects is the capacity of the channel to the goroutine of a request. At most a Send and a final effect wait in
@@ -65,16 +62,11 @@
 	}
 	body, err := d.readBody(w, r)
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			d.log.Info("caller", "body too large", "limit", tooLarge.Limit)
-			http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
-			return
-		}
-		d.log.Info("caller", "cannot read body", "err", err.Error())
-		panic(http.ErrAbortHandler)
+		d.refuseBody(w, err)
+		return
 	}
-	e := d.register(w, r, body)
+	defer body.Free()
+	e := d.register(w, r, body.Bytes())
 	defer d.unregister(e)
 	stop := context.AfterFunc(r.Context(), func() { d.enqueueDispatch(dispatch.NewCallerLeft(e.id)) })
 	defer stop()
@@ -83,18 +75,6 @@
 
 func (d *Daemon) isStopping() bool { return !d.ready.Load() && len(*d.addresses.Load()) > 0 }
 
-// readBody reads a complete body within the limit of the configuration.
-func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := d.config.Load().Limits().MaxBodyBytes()
-	if limit <= 0 {
-		limit = maxBodyBytes
-	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-}
-
 // register adds a request and notifies the reducer.
 func (d *Daemon) register(w http.ResponseWriter, r *http.Request, body []byte) *exchange {
 	id := dispatch.ID(d.lastRequestID.Add(1))
--- a/internal/gateway/eventreader.go
+++ b/internal/gateway/eventreader.go
@@ -100,7 +100,7 @@
 // free gives the buffer back.
 func (r *eventReader) free() {
 	if size := cap(r.buffer); size > smallEventBytes && r.pool != nil {
-		r.pool.Give(int64(size))
+		r.pool.Give(int64(size), 0)
 	}
 	r.buffer = nil
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -6,8 +6,9 @@
 
 // Shares of the memory of an instance that a daemon takes for bytes of others.
 const (
-	answerShare = 0.12 // answers that are held before they are forwarded
-	eventShare  = 0.05 // events that have not arrived completely
+	answerShare  = 0.12 // answers that are held before they are forwarded
+	eventShare   = 0.05 // events that have not arrived completely
+	requestShare = 0.18 // bodies of requests of callers and peers, which may need another attempt
 )
 
 // defaultMemoryBytes is the memory of an instance whose settings don't state it.
@@ -21,7 +22,7 @@
 
 // memoryPools are the pools of one daemon.
 type memoryPools struct {
-	answers, events memory.Pool
+	answers, events, requests memory.Pool
 }
 
 // setLimits divides the memory of the instance, 0 if it is unknown.
@@ -31,6 +32,7 @@
 	}
 	p.answers.SetLimit(int64(answerShare * float64(instanceBytes)))
 	p.events.SetLimit(int64(eventShare * float64(instanceBytes)))
+	p.requests.SetLimit(int64(requestShare * float64(instanceBytes)))
 }
 
 // maxAnswerBytes returns the size of the largest answer that is held.
--- a/internal/memory/buffer.go
+++ b/internal/memory/buffer.go
@@ -95,6 +95,6 @@
 	parts.Put((*[partBytes]byte)(part[:partBytes]))
 	b.taken -= partBytes
 	if b.pool != nil {
-		b.pool.Give(partBytes)
+		b.pool.Give(partBytes, b.taken)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,9 +12,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/azurepond/azurepond/internal/memory"
 	"github.com/azurepond/azurepond/internal/transport"
 )
 
@@ -22,6 +24,8 @@
 
 // driver admits all requests to the upstream called up.
 type driver struct {
+	bodies   memory.Pool
+	bodyWait time.Duration // none if 0
 	address  string
 	refusal  Outcome
 	ended    atomic.Int64
@@ -53,6 +57,12 @@
 	}
 }
 
+func (d *driver) ReadBody(r *http.Request, limit int64) (*memory.Body, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), d.bodyWait)
+	defer cancel()
+	return memory.ReadBody(ctx, &d.bodies, r.Body, r.ContentLength, limit)
+}
+
 func (d *driver) Observe(string, *http.Response) { d.observed.Add(1) }
 
 func (d *driver) ConnectEnded(_ string, err error) {
@@ -149,6 +159,32 @@
 	})
 }
 
+func TestBodyWithoutMemoryAtPeer(t *testing.T) {
+	Convey("A request whose body finds no memory is refused as busy and is not sent; a later one is", t, func() {
+		const size = 100_000
+		var runs atomic.Int64
+		h := newHop(t, func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			echo(w, r)
+		})
+		h.bodies.SetLimit(size)
+		So(h.bodies.Wait(context.Background(), size), ShouldBeTrue)
+		answer, _, err := h.do(context.Background(), strings.Repeat("x", size))
+		So(err, ShouldBeNil)
+		So(OutcomeOf(answer.Response.Header), ShouldEqual, Busy)
+		answer.Abort()
+		So(runs.Load(), ShouldEqual, 0)
+		h.bodies.Give(size, 0)
+		h.bodyWait = time.Minute
+		answer, _, err = h.do(context.Background(), strings.Repeat("x", size))
+		So(err, ShouldBeNil)
+		So(OutcomeOf(answer.Response.Header), ShouldEqual, Answered)
+		answer.Abort()
+		<-h.done
+		So(h.bodies.Usage().Used(), ShouldEqual, 0)
+	})
+}
+
 func TestOutcomeOfHop(t *testing.T) {
 	outcome := func(h *hop) Outcome {
 		answer, _, err := h.do(context.Background(), "")
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/azurepond/azurepond/internal/memory"
 	"github.com/azurepond/azurepond/internal/transport"
 )
 
@@ -21,6 +22,8 @@
 type Driver interface {
 	// Admit decides whether a request is passed on; end must be called when an admitted one has ended.
 	Admit(ctx context.Context, upstream string, kind Kind) (decision Decision, end func())
+	// ReadBody reads the body of a request, which has at most limit bytes. It returns memory.ErrNoMemory if there is no memory for it.
+	ReadBody(r *http.Request, limit int64) (*memory.Body, error)
 	// Match returns how an answer with these headers relates to a request.
 	Match(answer http.Header, request *http.Request) transport.Match
 	// RemoveHopHeaders removes the hop-by-hop headers.
@@ -49,10 +52,16 @@
 // ServeHTTP passes one request on.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	upstream, kind := r.Header.Get(upstreamHeader), Kind(r.Header.Get(kindHeader))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+	body, err := s.driver.ReadBody(r, MaxBodyBytes)
+	if errors.Is(err, memory.ErrNoMemory) {
+		refuse(w, Busy)
+		return
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	defer body.Free()
 	decision, end := s.driver.Admit(r.Context(), upstream, kind)
 	if decision.Address == "" {
 		refuse(w, decision.Refusal)
@@ -63,7 +72,7 @@
 	removeHeaders(header)
 	s.driver.RemoveHopHeaders(header)
 	answer, sent, err := s.pool.Do(r.Context(), decision.Address, kind != Call,
-		transport.RawRequest{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: body},
+		transport.RawRequest{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: body.Bytes()},
 		func(h http.Header) transport.Match { return s.driver.Match(h, r) })
 	if err != nil {
 		s.fail(w, r, upstream, sent, err)
--- a/internal/resident/endless_test.go
+++ b/internal/resident/endless_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,3 +99,25 @@
 		})
 	}
 }
+
+// TestLargeBodies guards against a daemon that reads the bodies of more requests at once than its instance has memory for.
+func TestLargeBodies(t *testing.T) {
+	for name, isInChunks := range map[string]bool{"with a length": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			p := startPlatform(t)
+			startUpstream(t, p.store, "i-0", func(_ *http.Request, id string) answer { return soundAnswer(id) })
+			d := startDaemon(t, "a", p.address, "", memoryMB)
+			d.waitReady(t)
+			c := &callers{daemons: []*daemon{d}, body: strings.Repeat("x", maxBodyBytes), isInChunks: isInChunks}
+			c.run(callerCount, playTime)
+			peak := d.peakMB(t)
+			t.Logf("peak %.0f MB, processor time %v, %d of %d requests served", peak, d.processorTime(t), c.served.Load(), c.count.Load())
+			if !d.isRunning() || peak > memoryShare*memoryMB {
+				t.Errorf("peak %.0f MB of %d, running %v", peak, memoryMB, d.isRunning())
+			}
+			if c.served.Load() == 0 {
+				t.Error("no request was served")
+			}
+		})
+	}
+}
--- a/internal/resident/load_test.go
+++ b/internal/resident/load_test.go
@@ -15,7 +15,10 @@
 	"github.com/azurepond/azurepond/platform/standin"
 )
 
-const callTimeout = 1500 * time.Millisecond
+const (
+	callTimeout  = 1500 * time.Millisecond
+	maxBodyBytes = 4 << 20 // of the configuration
+)
 
 // paths are the paths of the routes, which all lead to the same upstreams.
 var paths = []string{"/issue/x", "/read/x", "/feed/x"}
@@ -50,7 +53,7 @@
 				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 0.1, "warm-s": 0.05}},
 			}},
 		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": maxBodyBytes, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -65,6 +68,8 @@
 	count   atomic.Int64 // of requests
 	served  atomic.Int64
 	body    string
+
+	isInChunks bool // the length of the body is not stated
 }
 
 // run runs count callers for a while.
@@ -88,7 +93,11 @@
 	defer cancel()
 	n := c.count.Add(1)
 	d := c.daemons[int(n)%len(c.daemons)]
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+paths[int(n)%len(paths)], strings.NewReader(c.body))
+	var content io.Reader = strings.NewReader(c.body)
+	if c.isInChunks {
+		content = io.MultiReader(content) // whose length net/http does not know
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+paths[int(n)%len(paths)], content)
 	if err != nil {
 		return
 	}
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -67,6 +67,9 @@
 	return r
 }
 
+// Timeout returns how long the caller waits, 0 if it does not say so.
+func (r Request) Timeout() time.Duration { return r.timeout }
+
 // ID returns the id of the request within this daemon.
 func (r Request) ID() ID { return r.id }
 
