link, transport: Accept peers again after a temporary error

Any error of accept ended the hub, without an error.

transport.Retry waits after a temporary error (too many open files, no buffers, an aborted connection) and accepts again. The hub counts and logs such errors, and one that is for good now ends the daemon's run group.

--- a/internal/link/counters.go
+++ b/internal/link/counters.go
@@ -17,6 +17,7 @@
 	refusedMalformed metrics.Counter
 	refusedOversized metrics.Counter
 	refusedForeign   metrics.Counter
+	acceptFailures   metrics.Counter
 	openLinks        metrics.Gauge
 }
 
@@ -30,6 +31,7 @@
 		refusedMalformed: metrics.GetOrRegisterCounter("link.refused.malformed", registry),
 		refusedOversized: metrics.GetOrRegisterCounter("link.refused.oversized", registry),
 		refusedForeign:   metrics.GetOrRegisterCounter("link.refused.foreign", registry),
+		acceptFailures:   metrics.GetOrRegisterCounter("link.accept.failures", registry),
 		openLinks:        metrics.GetOrRegisterGauge("link.open", registry),
 	}
 }
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,19 +62,32 @@
 	return h, trace.Wrap(err)
 }
 
-// Run accepts connections from listener until ctx ends, and then closes all connections.
+// Run accepts connections from listener until ctx ends, and then closes all connections. It returns an error if the listener fails for
+// good before that.
 func (h *Hub) Run(ctx context.Context, listener net.Listener) error {
+	listener = transport.Retry(listener, h.reportAcceptError)
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	var acceptErr error
 	for {
 		c, err := listener.Accept()
 		if err != nil {
+			acceptErr = err
 			break
 		}
 		h.accept(c)
 	}
 	h.close()
-	return trace.Wrap(h.group.Wait())
+	err := h.group.Wait()
+	if ctx.Err() == nil && !errors.Is(acceptErr, net.ErrClosed) {
+		return trace.Wrap(acceptErr, "accept peers")
+	}
+	return trace.Wrap(err)
+}
+
+func (h *Hub) reportAcceptError(err error) {
+	h.counters.acceptFailures.Inc(1)
+	klog.InfoS("link: Cannot accept connections, trying again.", "err", err.Error())
 }
 
 // accept serves an inbound connection, or closes it if there are too many.
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -111,6 +111,7 @@
 	{"azurepond_link_refused_malformed", nil, "frames", "Frames that could not be read."},
 	{"azurepond_link_refused_oversized", nil, "frames", "Frames that were too large."},
 	{"azurepond_link_refused_foreign", nil, "connections", "Connections from processes that are no daemons of this fleet."},
+	{"azurepond_link_accept_failures", nil, "errors", "Temporary errors of accepting other daemons, such as too many open files."},
 	{"azurepond_link_open", nil, "connections", "Connections with other daemons now."},
 }
 
