peer: Take a daemon that starts again with an earlier clock as the newer one

A daemon that started again within a backward step of its clock was shut out by its peers for up to an hour: they refused its incarnation, which is lower than before.

A lower incarnation is accepted if the daemon says so itself, over a connection that was opened since its last message, or if the higher incarnation sends no heartbeats any more; an earlier start can't have a later heartbeat. Late messages of an earlier start are refused as before. Nothing on the wire changes.

--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -109,8 +109,8 @@
 	s.attachLoadCodes()
 }
 
-// acceptMemberInfo applies the description of a member that was delayed in transit by delay.
-func (s *State) acceptMemberInfo(now time.Time, delay time.Duration, info memberInfo) {
+// acceptMemberInfo applies the description of a member that was delayed in transit by delay. It is from the member itself if isOwn is set.
+func (s *State) acceptMemberInfo(now time.Time, delay time.Duration, info memberInfo, isOwn bool) {
 	at := now.Add(-info.age - delay)
 	if !s.isFresh(now, at) || info.name == "" {
 		s.counters.stale++
@@ -126,7 +126,7 @@
 		s.counters.handleCollisions++
 		return
 	}
-	if !known && !s.mayAdd(info) {
+	if !known && !s.mayAdd(now, info, isOwn) {
 		s.counters.stale++
 		return
 	}
@@ -136,10 +136,11 @@
 	s.updateMember(now, at, m, info)
 }
 
-// mayAdd reports whether an unknown member may be added.
-func (s *State) mayAdd(info memberInfo) bool {
+// mayAdd reports whether an unknown member may be added. A daemon that starts again after its clock was set back has a lower incarnation
+// than before. It is added if it says so itself, or if the higher one no longer sends heartbeats.
+func (s *State) mayAdd(now time.Time, info memberInfo, isOwn bool) bool {
 	if old, known := s.members[s.handleByName[info.name]]; known {
-		return info.incarnation > old.incarnation
+		return info.incarnation > old.incarnation || isOwn || !s.isFresh(now, old.heartbeatAt)
 	}
 	return len(s.allMembers) < maxMembers
 }
--- a/pkg/peer/receive.go
+++ b/pkg/peer/receive.go
@@ -21,6 +21,7 @@
 	highestNumber uint64
 	seenBits      uint64 // bit i: message highestNumber-i arrived
 	openedAt      time.Time
+	acceptedAt    time.Time     // when a message was last accepted
 	hasOffset     bool          // minOffset is set
 	minOffset     time.Duration // smallest difference of the two clocks seen so far
 	offsetAt      time.Time     // when minOffset was last updated
@@ -58,12 +59,14 @@
 	return m
 }
 
-// accept records the number of a message and reports whether the message is new.
-func (l *link) accept(incarnation, number uint64) bool {
-	if incarnation < l.incarnation {
+// accept records the number of a message and reports whether the message is new. A lower incarnation than before is accepted only over a
+// connection that was opened later: the peer's clock was set back before it started again.
+func (l *link) accept(now time.Time, incarnation, number uint64) bool {
+	if incarnation < l.incarnation && !l.openedAt.After(l.acceptedAt) {
 		return false
 	}
-	if incarnation > l.incarnation {
+	l.acceptedAt = now
+	if incarnation != l.incarnation {
 		l.incarnation, l.highestNumber, l.seenBits, l.hasOffset = incarnation, 0, 0, false
 	}
 	if number > l.highestNumber {
@@ -104,7 +107,7 @@
 		s.counters.wrongSender++
 		return
 	}
-	if !l.accept(m.incarnation, m.number) {
+	if !l.accept(now, m.incarnation, m.number) {
 		s.counters.replayed++
 		return
 	}
@@ -120,7 +123,7 @@
 
 func (s *State) applyUpdates(now time.Time, delay time.Duration, m Message) {
 	for _, info := range m.members {
-		s.acceptMemberInfo(now, delay, info)
+		s.acceptMemberInfo(now, delay, info, info.name == m.from && info.incarnation == m.incarnation)
 	}
 	for _, c := range m.reportChanges {
 		s.acceptChange(now, delay, c, m.from)
