gateway, transport, link: Divide the descriptors, close idle connections

Callers, peers, links, idle connections to upstreams and administration have shares of max-fds. Beyond its share, a kind loses the connection that is idle longest; one with a request stays. Idle connections of callers end after idle-timeout-ms of the configuration in force. The limiter ends the server's wait for the next request instead of closing the connection, so that a request which has just been read is answered. All listeners accept again after temporary errors.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -98,4 +98,5 @@
 	MetricsAddress   string
 	RelayAddress     string // for requests that the daemon passes on for its peers
 	MemoryBytes      int64  // of the instance, 0 if unknown
+	MaxConnections   int    // of the process, 0 if unknown
 }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -56,19 +56,22 @@
 }
 
 // refuseBody answers a request whose body was not read completely, or aborts its connection.
-func (d *Daemon) refuseBody(w http.ResponseWriter, err error) {
+func (d *Daemon) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	id := d.adapter.Headers.ParseRequest(0, r, 0).Name()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		d.log.Info("caller", "body too large", "limit", tooLarge.Limit)
+		d.log.Info("caller", "body too large", "id", id, "limit", tooLarge.Limit)
 		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
 	case errors.Is(err, memory.ErrNoMemory):
-		d.log.Info("caller", "body refused", "err", err.Error())
+		u := d.memory.requests.Usage()
+		d.log.Info("caller", "body refused", "id", id, "length", r.ContentLength, "err", err.Error(),
+			"used", u.Used(), "limit", u.Limit(), "waiting", u.Waiting())
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		w.Header().Set("Retry-After", strconv.FormatFloat(bodyRetryAfter.Seconds(), 'f', 2, 64))
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
-		d.log.Info("caller", "cannot read body", "err", err.Error())
+		d.log.Info("caller", "cannot read body", "id", id, "err", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -12,11 +12,11 @@
 	"github.com/azurepond/azurepond/pkg/relay"
 )
 
-// The limits of callers' connections.
+// The limits of callers' connections. The configuration states the idle timeout.
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 60 * time.Second // longer than any known idle timeout of callers
-	maxHeaderBytes = 64 << 10
+	headerTimeout      = 5 * time.Second
+	defaultIdleTimeout = 60 * time.Second // longer than any known idle timeout of callers
+	maxHeaderBytes     = 64 << 10
 )
 
 // maxPendingEffects is the capacity of the channel to the goroutine of a request. At most a Send and a final effect wait in
@@ -45,14 +45,12 @@
 
 // callerServer returns the HTTP server for callers.
 func (d *Daemon) callerServer() *http.Server {
-	server := &http.Server{
+	return d.conns.callers.apply(&http.Server{
 		Handler:           http.HandlerFunc(d.serveCaller),
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       withCallerConn,
-	}
-	return server
+	})
 }
 
 // serveCaller serves one request.
@@ -62,7 +60,7 @@
 	}
 	body, err := d.readBody(w, r)
 	if err != nil {
-		d.refuseBody(w, err)
+		d.refuseBody(w, r, err)
 		return
 	}
 	defer body.Free()
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -46,6 +46,8 @@
 	lastRequestID     atomic.Uint64
 	lastRelayID       atomic.Uint64
 	memory            memoryPools
+	conns             connLimiters
+	scarce            scarcity // used by recordResources only
 	ctx               context.Context
 	cancel            context.CancelFunc
 	servers           []*http.Server     // those that Run started
@@ -72,7 +74,6 @@
 		exchanges: map[dispatch.ID]*exchange{}, attempts: map[dispatch.AttemptID]attemptWork{},
 		relayed: map[gateway.RelayID]chan gateway.RelayDecided{},
 	}
-	d.memory.setLimits(s.MemoryBytes)
 	d.addresses.Store(&[]gateway.Address{})
 	d.config.Store(&route.Config{})
 	hub, err := link.New(s.Name, s.PeerAddress, link.TLSFiles{}, registry, func(e peer.Event) {
@@ -83,13 +84,14 @@
 		return nil, trace.Wrap(err)
 	}
 	d.hub = hub
+	d.limitResources(s)
 	return d, nil
 }
 
 // Reload applies new settings, except the addresses, which are fixed while the process runs.
 func (d *Daemon) Reload(s Settings) {
 	d.log.Info("daemon", "reload", "name", s.Name)
-	d.memory.setLimits(s.MemoryBytes)
+	d.limitResources(s)
 	d.enqueue(gateway.NewReloaded(s.Gateway))
 }
 
@@ -108,14 +110,15 @@
 	group.Go(func() error { return d.tick(serveCtx) })
 	group.Go(func() error { return d.sweepConnections(serveCtx) })
 	d.serveHTTP(serveCtx, group, d.callerServer(), listeners[callerListener])
-	d.serveHTTP(serveCtx, group,
-		&http.Server{Handler: d.adapter.Endpoints.ReadinessHandler(d.ready.Load)},
-		listeners[readinessListener])
-	d.serveHTTP(serveCtx, group,
-		&http.Server{Handler: d.adapter.Endpoints.AddressHandler(d.selectAddresses)},
-		listeners[directoryListener])
-	d.serveHTTP(serveCtx, group, hop.NewServer(&d.pool, relayDriver{d}).HTTP(), listeners[relayListener])
-	d.serveHTTP(serveCtx, group, &http.Server{Handler: metricsHandler(d.registry)}, listeners[metricsListener])
+	for index, handler := range map[int]http.Handler{
+		readinessListener: d.adapter.Endpoints.ReadinessHandler(d.ready.Load),
+		directoryListener: d.adapter.Endpoints.AddressHandler(d.selectAddresses),
+		metricsListener:   metricsHandler(d.registry),
+	} {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		d.serveHTTP(serveCtx, group, d.conns.administration.apply(server), listeners[index])
+	}
+	d.serveHTTP(serveCtx, group, d.conns.peers.apply(hop.NewServer(&d.pool, relayDriver{d}).HTTP()), listeners[relayListener])
 	group.Go(func() error { return d.waitForStop(ctx, serveCtx) })
 	err = group.Wait()
 	d.log.Info("daemon", "stop", "name", d.settings.Name)
@@ -219,6 +222,8 @@
 			return nil
 		case now := <-ticker.C:
 			d.pool.Sweep(now)
+			d.conns.closeIdle(now, d.config.Load().Limits().IdleTimeout())
+			d.recordResources(now)
 			d.recorder.SetGauge(metrics.UpstreamConnections, d.pool.Opened())
 			d.recorder.SetGauge(metrics.DroppedLogLines, d.log.DroppedLines())
 		}
@@ -228,6 +233,10 @@
 // serveHTTP runs an HTTP server in group until ctx is cancelled.
 func (d *Daemon) serveHTTP(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
 	d.servers = append(d.servers, server)
+	listener = transport.Retry(listener, func(err error) {
+		d.log.Info("daemon", "cannot accept connections, trying again", "address", listener.Addr(), "err", err.Error())
+		d.recorder.AcceptFailed()
+	})
 	group.Go(func() error {
 		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -41,6 +42,7 @@
 	conns        map[string][]*conn // by peer name, the newest last
 	dialing      map[string]bool    // by address
 	inboundConns int
+	maxInbound   int // 0 for maxInboundConns
 }
 
 // New returns the hub of the daemon name, which listens for peers on address. The hub calls deliver with
@@ -62,6 +64,13 @@
 	return h, trace.Wrap(err)
 }
 
+// SetMaxInbound limits the inbound connections, 0 for the usual limit.
+func (h *Hub) SetMaxInbound(count int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.maxInbound = min(count, maxInboundConns)
+}
+
 // Run accepts connections from listener until ctx ends, and then closes all connections. It returns an error if the listener fails for
 // good before that.
 func (h *Hub) Run(ctx context.Context, listener net.Listener) error {
@@ -137,7 +146,7 @@
 func (h *Hub) admitInbound() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.closed || h.inboundConns >= maxInboundConns {
+	if h.closed || h.inboundConns >= cmp.Or(h.maxInbound, maxInboundConns) {
 		return false
 	}
 	h.inboundConns++
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -124,5 +124,14 @@
 		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, RetrySharers, DroppedLogLines, Upstreams, Lag, Leading,
 		StoreRestores, StoreEra, OutdatedStoreAnswers, SilentStoreWatches, MarkedParts, LostPaths, RelayedRequests,
 		EvacuatedCentres,
+		AcceptFailures,
+		OpenConnections,
+		ConnectionLimits,
+		ClosedConnections,
+		MemoryUsed,
+		MemoryPeak,
+		MemoryLimit,
+		MemoryRefusals,
+		MemoryWaiting,
 	}, linkMetrics...)
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -110,6 +110,51 @@
 		[]string{"outcome"},
 		"requests", "Requests of this daemon that went through other daemons, by what became of them there.",
 	}
+	AcceptFailures = Metric{
+		"azurepond_accept_failures_total",
+		nil,
+		"errors", "Temporary errors of accepting connections other than those of daemons, such as too many open files.",
+	}
+	OpenConnections = Metric{
+		"azurepond_connections",
+		[]string{"kind"},
+		"connections", "Open connections of callers, of peers whose requests this daemon passes on, and for administration.",
+	}
+	ConnectionLimits = Metric{
+		"azurepond_connections_limit",
+		[]string{"kind"},
+		"connections", "How many connections of a kind may be open, 0 for any number.",
+	}
+	ClosedConnections = Metric{
+		"azurepond_connections_closed_total",
+		[]string{"kind", "reason"},
+		"connections", "Connections that were closed while they were idle, as they were idle for too long (timeout) or as there were too many (limit).",
+	}
+	MemoryUsed = Metric{
+		"azurepond_memory_used_bytes",
+		[]string{"holder"},
+		"bytes", "Memory for answers that are held, for events that have not arrived completely, and for bodies of requests.",
+	}
+	MemoryPeak = Metric{
+		"azurepond_memory_peak_bytes",
+		[]string{"holder"},
+		"bytes", "The largest azurepond_memory_used_bytes since the daemon has started.",
+	}
+	MemoryLimit = Metric{
+		"azurepond_memory_limit_bytes",
+		[]string{"holder"},
+		"bytes", "How much memory a kind of holders may take together.",
+	}
+	MemoryRefusals = Metric{
+		"azurepond_memory_refusals_total",
+		[]string{"holder"},
+		"refusals", "How often a holder found no memory: an answer was not held, an event ended its stream, or a body was refused.",
+	}
+	MemoryWaiting = Metric{
+		"azurepond_memory_waiting",
+		[]string{"holder"},
+		"requests", "Requests that wait for the memory for their bodies.",
+	}
 	EvacuatedCentres = Metric{
 		"azurepond_centre_evacuated",
 		[]string{"centre"},
@@ -176,5 +221,13 @@
 	r.SetGauge(StoreEra, int64(era))
 }
 
+// AcceptFailed counts a temporary error of accepting a connection.
+func (r *Recorder) AcceptFailed() { r.increment(AcceptFailures.RegistryName()) }
+
+// SetTotal sets a counter that is kept elsewhere.
+func (r *Recorder) SetTotal(metric Metric, total int64, labels ...string) {
+	r.setCounter(metric.RegistryName(labels...), total)
+}
+
 // StoreAnswerOutdated counts an answer of an earlier era.
 func (r *Recorder) StoreAnswerOutdated() { r.increment(OutdatedStoreAnswers.RegistryName()) }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -72,6 +72,9 @@
 	mutex  sync.Mutex
 	idle   map[string][]*Conn
 	opened atomic.Int64
+
+	idleCount int
+	maxIdle   int // of all upstreams, 0 for no limit
 }
 
 // Conn is one connection that runs one exchange at a time.
@@ -149,6 +152,13 @@
 	return nil
 }
 
+// SetMaxIdle limits the idle connections to all upstreams together, 0 for no limit.
+func (p *Pool) SetMaxIdle(count int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.maxIdle = count
+}
+
 // takeIdle removes and returns the most recently used idle connection to address, or returns nil.
 func (p *Pool) takeIdle(address string) *Conn {
 	p.mutex.Lock()
@@ -159,6 +169,7 @@
 	}
 	c := conns[len(conns)-1]
 	p.idle[address] = conns[:len(conns)-1]
+	p.idleCount--
 	return c
 }
 
@@ -169,10 +180,11 @@
 	if p.idle == nil {
 		p.idle = map[string][]*Conn{}
 	}
-	if len(p.idle[c.address]) >= maxIdlePerUpstream {
+	if len(p.idle[c.address]) >= maxIdlePerUpstream || p.maxIdle > 0 && p.idleCount >= p.maxIdle {
 		c.discard()
 		return
 	}
+	p.idleCount++
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
@@ -188,6 +200,7 @@
 				continue
 			}
 			c.discard()
+			p.idleCount--
 		}
 		p.idle[address] = kept
 		if len(kept) == 0 {
