gateway: Apply the configured limits of heads

header-timeout-ms and max-header-bytes of the configuration were not applied: 5 s and 64 KB were, whatever it said. An HTTP server can't change them while it runs, so new connections get a server with the limits of the configuration in force, and earlier ones are closed after their next answer.

TestLimitsOfCallers covers heads, their timeout and idle connections, each also after a change while running; it fails without the change (a head of 20 KB was served under a limit of 4 KB).

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -12,12 +12,8 @@
 	"github.com/azurepond/azurepond/pkg/relay"
 )
 
-// The limits of callers' connections. The configuration states the idle timeout.
-const (
-	headerTimeout      = 5 * time.Second
-	defaultIdleTimeout = 60 * time.Second // longer than any known idle timeout of callers
-	maxHeaderBytes     = 64 << 10
-)
+// defaultIdleTimeout is that of callers' connections without a configuration that states one, longer than any known one of callers.
+const defaultIdleTimeout = 60 * time.Second
 
 // maxPendingEffects is the capacity of the channel to the goroutine of a request. At most a Send and a final effect wait in
 // it.
@@ -43,16 +39,6 @@
 	isPositionUnknown bool // an event with content and without an id was sent after lastEventID
 }
 
-// callerServer returns the HTTP server for callers.
-func (d *Daemon) callerServer() *http.Server {
-	return d.conns.callers.apply(&http.Server{
-		Handler:           http.HandlerFunc(d.serveCaller),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withCallerConn,
-	})
-}
-
 // serveCaller serves one request.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if d.isStopping() {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -50,7 +50,7 @@
 	scarce            scarcity // used by recordResources only
 	ctx               context.Context
 	cancel            context.CancelFunc
-	servers           []*http.Server     // those that Run started
+	servers           []httpServer       // those that Run started
 	stopUpstreamWatch context.CancelFunc // nil while no watch runs
 	stopEnds          chan time.Time     // the end of the graceful shutdown
 	stopped           chan struct{}
@@ -109,13 +109,14 @@
 	group.Go(func() error { return d.hub.Run(serveCtx, listeners[peerListener]) })
 	group.Go(func() error { return d.tick(serveCtx) })
 	group.Go(func() error { return d.sweepConnections(serveCtx) })
-	d.serveHTTP(serveCtx, group, d.callerServer(), listeners[callerListener])
+	callers := &callerServer{daemon: d, listener: d.retryAccept(listeners[callerListener])}
+	d.runServer(serveCtx, group, callers, callers.Serve)
 	for index, handler := range map[int]http.Handler{
 		readinessListener: d.adapter.Endpoints.ReadinessHandler(d.ready.Load),
 		directoryListener: d.adapter.Endpoints.AddressHandler(d.selectAddresses),
 		metricsListener:   metricsHandler(d.registry),
 	} {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout}
 		d.serveHTTP(serveCtx, group, d.conns.administration.apply(server), listeners[index])
 	}
 	d.serveHTTP(serveCtx, group, d.conns.peers.apply(hop.NewServer(&d.pool, relayDriver{d}).HTTP()), listeners[relayListener])
@@ -230,15 +231,23 @@
 	}
 }
 
+// httpServer is what serves the connections of one listener.
+type httpServer interface {
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // serveHTTP runs an HTTP server in group until ctx is cancelled.
 func (d *Daemon) serveHTTP(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
+	listener = d.retryAccept(listener)
+	d.runServer(ctx, group, server, func() error { return server.Serve(listener) })
+}
+
+// runServer runs serve in group, and closes the server when ctx is cancelled.
+func (d *Daemon) runServer(ctx context.Context, group *errgroup.Group, server httpServer, serve func() error) {
 	d.servers = append(d.servers, server)
-	listener = transport.Retry(listener, func(err error) {
-		d.log.Info("daemon", "cannot accept connections, trying again", "address", listener.Addr(), "err", err.Error())
-		d.recorder.AcceptFailed()
-	})
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := serve()
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -250,6 +259,14 @@
 	})
 }
 
+// retryAccept returns the listener, which accepts again after temporary errors.
+func (d *Daemon) retryAccept(listener net.Listener) net.Listener {
+	return transport.Retry(listener, func(err error) {
+		d.log.Info("daemon", "cannot accept connections, trying again", "address", listener.Addr(), "err", err.Error())
+		d.recorder.AcceptFailed()
+	})
+}
+
 // waitForStop begins the graceful shutdown when ctx is cancelled. It ends the daemon when all answers were sent or the grace
 // period is over.
 func (d *Daemon) waitForStop(ctx, serveCtx context.Context) error {
