--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -23,8 +23,8 @@
 	maxRelayedBodyWait = 100 * time.Millisecond // another peer may have memory
 )
 
-// bodyRetryAfter is the Retry-After time of a request whose body finds no memory: that of the wait once more.
-const bodyRetryAfter = maxBodyWait
+// resourceRetryAfter is the Retry-After time of a request for which there is no memory or no connection: that of the wait once more.
+const resourceRetryAfter = maxBodyWait
 
 // readBody reads a complete body within the limit of the configuration. Its memory must be freed.
 func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request) (*memory.Body, error) {
@@ -68,7 +68,7 @@
 		d.log.Info("caller", "body refused", "id", id, "length", r.ContentLength, "err", err.Error(),
 			"used", u.Used(), "limit", u.Limit(), "waiting", u.Waiting())
 		w.Header().Set("Connection", "close") // the rest of the body is not read
-		w.Header().Set("Retry-After", strconv.FormatFloat(bodyRetryAfter.Seconds(), 'f', 2, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(resourceRetryAfter.Seconds(), 'f', 2, 64))
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		d.log.Info("caller", "cannot read body", "id", id, "err", err.Error())
@@ -76,6 +76,15 @@
 	}
 }
 
+// refuseConnection refuses a request for which there is no connection to an upstream.
+func (d *Daemon) refuseConnection(w http.ResponseWriter, r *http.Request) {
+	u := d.conns.callers.usage()
+	d.log.Info("caller", "request refused, too many connections", "id", d.adapter.Headers.ParseRequest(0, r, 0).Name(), "open", u.open, "limit", u.limit)
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.FormatFloat(resourceRetryAfter.Seconds(), 'f', 2, 64))
+	http.Error(w, "too many connections", http.StatusServiceUnavailable)
+}
+
 // ReadBody reads the body of a request of a peer.
 func (d relayDriver) ReadBody(r *http.Request, limit int64) (*memory.Body, error) {
 	if r.ContentLength == 0 {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -44,6 +44,10 @@
 	if d.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
+	if d.conns.callers.isFull() {
+		d.refuseConnection(w, r)
+		return
+	}
 	body, err := d.readBody(w, r)
 	if err != nil {
 		d.refuseBody(w, r, err)
--- a/internal/gateway/connlimit.go
+++ b/internal/gateway/connlimit.go
@@ -9,13 +9,14 @@
 )
 
 // connLimiter closes connections of an HTTP server that are idle for too long, and the one that is idle longest when there are too many. A
-// connection with a request stays. The zero value has no limit.
+// connection with a request stays, and counts twice, as the request may need another one. The zero value has no limit.
 type connLimiter struct {
 	mutex    sync.Mutex
 	limit    int // 0 for none
 	idle     list.List
 	conns    map[net.Conn]*trackedConn
 	expiring int // of conns, which net/http closes as soon as it reads from them
+	active   int // of conns, with a request
 	peak     int
 	timedOut int64
 	excess   int64
@@ -26,6 +27,7 @@
 	net.Conn
 	element   *list.Element // in the list of those without a request, nil for one with a request
 	since     time.Time     // without a request
+	isActive  bool          // it has a request
 	isNew     bool          // no request has arrived; the server's timeout for heads applies
 	isExpired bool
 }
@@ -69,29 +71,53 @@
 		tracked.element = l.idle.PushBack(tracked)
 		l.conns[c] = tracked
 		l.peak = max(l.peak, len(l.conns))
-		if l.limit > 0 && len(l.conns)-l.expiring > l.limit {
-			l.excess++
-			l.expire(l.idle.Front().Value.(*trackedConn))
-		}
+		l.expireExcess()
 	case http.StateActive:
 		if tracked != nil {
-			l.begin(tracked)
+			l.leaveIdle(tracked)
+			tracked.isActive = true
+			l.active++
+			l.expireExcess()
 		}
 	case http.StateIdle:
 		if tracked != nil {
+			l.endRequest(tracked)
 			tracked.since = now
 			tracked.element = l.idle.PushBack(tracked)
 		}
 	case http.StateHijacked, http.StateClosed:
 		if tracked != nil {
-			l.begin(tracked)
+			l.leaveIdle(tracked)
+			l.endRequest(tracked)
 			delete(l.conns, c)
 		}
 	}
 }
 
-// begin handles that a connection has a request. If it has expired meanwhile, it stays open for that.
-func (l *connLimiter) begin(c *trackedConn) {
+// expireExcess expires idle connections while there are too many.
+func (l *connLimiter) expireExcess() {
+	for l.limit > 0 && len(l.conns)-l.expiring+l.active > l.limit && l.idle.Len() > 0 {
+		l.excess++
+		l.expire(l.idle.Front().Value.(*trackedConn))
+	}
+}
+
+// isFull reports whether there are more requests than connections for them.
+func (l *connLimiter) isFull() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.limit > 0 && 2*l.active > l.limit
+}
+
+func (l *connLimiter) endRequest(c *trackedConn) {
+	if c.isActive {
+		c.isActive = false
+		l.active--
+	}
+}
+
+// leaveIdle handles that a connection is no longer idle. If it has expired meanwhile, it stays open for its request.
+func (l *connLimiter) leaveIdle(c *trackedConn) {
 	if c.element != nil {
 		l.idle.Remove(c.element)
 		c.element = nil
--- a/internal/gateway/connlimit_test.go
+++ b/internal/gateway/connlimit_test.go
@@ -100,7 +100,7 @@
 func TestTooManyConnections(t *testing.T) {
 	Convey("Beyond the limit, the connection that is idle longest is closed, and new ones are served", t, func() {
 		s := newLimitedServer(t, func(http.ResponseWriter, *http.Request) {})
-		s.setLimit(3)
+		s.setLimit(4) // three connections, one of them with a request
 		conns := []net.Conn{s.dial(), s.dial(), s.dial()}
 		for _, i := range []int{1, 2, 0} {
 			_, err := request(conns[i])
@@ -109,13 +109,41 @@
 		}
 		for _, i := range []int{1, 2, 0} {
 			added := s.dial()
-			So(isClosed(conns[i]), ShouldBeTrue)
 			status, err := request(added)
 			So(err, ShouldBeNil)
 			So(status, ShouldEqual, http.StatusOK)
+			So(isClosed(conns[i]), ShouldBeTrue)
+			s.waitIdle(3)
 		}
 		So(s.usage().excess, ShouldEqual, 3)
-		So(s.usage().peak, ShouldBeLessThanOrEqualTo, 4)
+		So(s.usage().peak, ShouldEqual, 4)
+	})
+
+	Convey("Connections with requests stay; a new one is closed before it is read, and the limiter says that it is full", t, func() {
+		running, release := make(chan struct{}), make(chan struct{})
+		s := newLimitedServer(t, func(http.ResponseWriter, *http.Request) {
+			running <- struct{}{}
+			<-release
+		})
+		s.setLimit(4)
+		results := make(chan error, 2)
+		for range 2 {
+			c := s.dial()
+			go func() {
+				_, err := request(c)
+				results <- err
+			}()
+			<-running
+		}
+		So(s.isFull(), ShouldBeFalse)
+		So(isClosed(s.dial()), ShouldBeTrue)
+		s.setLimit(3)
+		So(s.isFull(), ShouldBeTrue)
+		close(release)
+		So(<-results, ShouldBeNil)
+		So(<-results, ShouldBeNil)
+		s.waitIdle(2)
+		So(s.isFull(), ShouldBeFalse)
 	})
 }
 
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -5,11 +5,10 @@
 	"time"
 )
 
-// Shares of the connections that the settings allow. The rest is for the store, for orders and probes, and for connections to upstreams
-// that are in use.
+// Shares of the connections that the settings allow. The rest is for the store, and for orders and probes.
 const (
-	callerConnShare         = 0.6
-	idleUpstreamConnShare   = 0.1
+	callerConnShare         = 0.65 // and for the connections to upstreams that their requests use
+	idleUpstreamConnShare   = 0.08
 	linkShare               = 0.1
 	peerConnShare           = 0.05 // for requests that peers pass on
 	administrationConnShare = 0.05 // for readiness checks, the directory and the metrics
