peer: Do not return to the earlier start of a daemon whose clock was set back

The incarnation that a daemon has superseded is not accepted again; a further start between the two is. TestRestartAfterBackwardClockStep covers both and failed before.

--- a/pkg/peer/clock_test.go
+++ b/pkg/peer/clock_test.go
@@ -59,6 +59,13 @@
 			after := newClockPeer("b", now, step)
 			after.introduceTo(now, a)
 			So(a.incarnationOf(now, "b"), ShouldEqual, now.Add(step).UnixMilli())
+
+			earlier := before.memberInfoOf(now, before.self)
+			a.acceptMemberInfo(now.Add(time.Millisecond), 0, earlier, false) // as others still know it
+			So(a.incarnationOf(now, "b"), ShouldEqual, now.Add(step).UnixMilli())
+			again := newClockPeer("b", now.Add(time.Second), step)
+			a.acceptMemberInfo(now.Add(time.Second), 0, again.memberInfoOf(now.Add(time.Second+step), again.self), false)
+			So(a.incarnationOf(now.Add(time.Second), "b"), ShouldEqual, now.Add(time.Second+step).UnixMilli())
 		})
 	}
 
--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -40,6 +40,7 @@
 	lastAcceptedAt time.Time // when a heartbeat was last accepted
 	requestedAt    time.Time // when the heartbeat was last requested
 	pushesLeft     int       // how often the last heartbeat is still to be forwarded
+	supersedes     uint64    // the higher incarnation of an earlier start, 0 for none
 
 	storedReportVersion uint64         // version of the stored report, 0 for none
 	confirmedAt         time.Time      // all observations were true then
@@ -131,16 +132,22 @@
 		return
 	}
 	if !known {
+		old := s.members[s.handleByName[info.name]]
 		m = s.addMember(memberInfo{name: info.name, incarnation: info.incarnation})
+		if old != nil && old.incarnation > info.incarnation {
+			m.supersedes = old.incarnation
+		}
 	}
 	s.updateMember(now, at, m, info)
 }
 
 // mayAdd reports whether an unknown member may be added. A daemon that starts again after its clock was set back has a lower incarnation
-// than before. It is added if it says so itself, or if the higher one no longer sends heartbeats.
+// than before. It is added if it says so itself, or if the higher one no longer sends heartbeats, and what others still say of that one is
+// outdated.
 func (s *State) mayAdd(now time.Time, info memberInfo, isOwn bool) bool {
 	if old, known := s.members[s.handleByName[info.name]]; known {
-		return info.incarnation > old.incarnation || isOwn || !s.isFresh(now, old.heartbeatAt)
+		isLater := info.incarnation > old.incarnation && info.incarnation != old.supersedes
+		return isLater || isOwn || !s.isFresh(now, old.heartbeatAt)
 	}
 	return len(s.allMembers) < maxMembers
 }
