gateway: Subtract the time of a body from the time of its request

A request whose body arrived late, or waited for memory, began its time when the body was there: its upstream was given all of the caller's time, and its route's timeout began later than the request. The wait for memory is also bounded by the route's timeout now, not only by the caller's.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azurepond/azurepond/internal/memory"
+	"github.com/azurepond/azurepond/pkg/route"
 )
 
 // maxBodyBytes limits bodies without a configuration that does.
@@ -43,18 +44,38 @@
 	return memory.ReadBody(ctx, &d.memory.requests, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
 }
 
+// timeoutOf returns how long a request may take, by its caller and its route, 0 if neither says so.
+func (d *Daemon) timeoutOf(r *http.Request, matched route.Route) time.Duration {
+	timeout := d.adapter.Headers.ParseRequest(0, r, 0).Timeout()
+	if limit := matched.Timeout(); limit > 0 && (timeout <= 0 || timeout > limit) {
+		return limit
+	}
+	return timeout
+}
+
 // bodyWait returns how long a request may wait for the memory for its body.
 func (d *Daemon) bodyWait(r *http.Request) time.Duration {
+	matched, isKnown := d.config.Load().Match(r.Host, r.URL.Path)
 	wait, share := maxBodyWait, bodyWaitShare
-	if matched, isKnown := d.config.Load().Match(r.Host, r.URL.Path); isKnown && !matched.Retryable() {
+	if isKnown && !matched.Retryable() {
 		wait, share = maxOnceBodyWait, onceBodyWaitShare
 	}
-	if timeout := d.adapter.Headers.ParseRequest(0, r, 0).Timeout(); timeout > 0 {
+	if timeout := d.timeoutOf(r, matched); timeout > 0 {
 		wait = min(wait, time.Duration(share*float64(timeout)))
 	}
 	return wait
 }
 
+// timeLeft returns how much of the time of a request is left after its body took some of it, 0 if its time is unknown.
+func (d *Daemon) timeLeft(r *http.Request, taken time.Duration) time.Duration {
+	matched, _ := d.config.Load().Match(r.Host, r.URL.Path)
+	timeout := d.timeoutOf(r, matched)
+	if timeout <= 0 {
+		return 0
+	}
+	return max(timeout-taken, time.Millisecond)
+}
+
 // refuseBody answers a request whose body was not read completely, or aborts its connection.
 func (d *Daemon) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	id := d.adapter.Headers.ParseRequest(0, r, 0).Name()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -48,13 +48,14 @@
 		d.refuseConnection(w, r)
 		return
 	}
+	began := time.Now()
 	body, err := d.readBody(w, r)
 	if err != nil {
 		d.refuseBody(w, r, err)
 		return
 	}
 	defer body.Free()
-	e := d.register(w, r, body.Bytes())
+	e := d.register(w, r, body.Bytes(), time.Since(began))
 	defer d.unregister(e)
 	stop := context.AfterFunc(r.Context(), func() { d.enqueueDispatch(dispatch.NewCallerLeft(e.id)) })
 	defer stop()
@@ -63,13 +64,19 @@
 
 func (d *Daemon) isStopping() bool { return !d.ready.Load() && len(*d.addresses.Load()) > 0 }
 
-// register adds a request and notifies the reducer.
-func (d *Daemon) register(w http.ResponseWriter, r *http.Request, body []byte) *exchange {
+// bodyTimeSlack is how long a body may take without shortening the time of its request.
+const bodyTimeSlack = 10 * time.Millisecond
+
+// register adds a request whose body took some time, and notifies the reducer.
+func (d *Daemon) register(w http.ResponseWriter, r *http.Request, body []byte, taken time.Duration) *exchange {
 	id := dispatch.ID(d.lastRequestID.Add(1))
 	content := xxhash.New()
 	_, _ = content.WriteString(r.Method + r.URL.RequestURI() + r.Header.Get("Authorization")) // a hash never fails
 	_, _ = content.Write(body)
 	request := d.adapter.Headers.ParseRequest(id, r, content.Sum64())
+	if taken > bodyTimeSlack {
+		request = request.WithTimeout(d.timeLeft(r, taken))
+	}
 	e := &exchange{
 		daemon: d, id: id, name: request.Name(), request: r, body: body, writer: w,
 		effects: make(chan dispatch.Effect, maxPendingEffects),
