--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -14,7 +15,7 @@
 	index := s.random.IntN(*daemonCount)
 	p := s.daemons[index]
 	s.snapshots = append(s.snapshots, s.fleet.Store.Snapshot())
-	switch s.random.IntN(14) {
+	switch s.random.IntN(17) {
 	case 0:
 		p.stop()
 		return fmt.Sprintf("kill d%d", index), func() { s.start(p) }
@@ -64,6 +65,16 @@
 		fault := networkFault(1 + s.random.IntN(4))
 		p.paths.hang(fault)
 		return fmt.Sprintf("paths of d%d: network fault %d", index, fault), func() { s.heal(p) }
+	case 13:
+		go s.sendLargeBodies(p)
+		return fmt.Sprintf("large bodies to d%d", index), func() {}
+	case 14:
+		return fmt.Sprintf("idle connections to d%d", index), openIdle(p)
+	case 15:
+		desk := s.desks[s.random.IntN(len(s.desks))]
+		status := []int{http.StatusOK, http.StatusInternalServerError}[s.random.IntN(2)]
+		desk.SetAnswer(standin.NewEndlessAnswer(status))
+		return fmt.Sprintf("endless answers with status %d of %s", status, desk.ID()), func() { desk.SetAnswer(standin.Answer{}) }
 	}
 	e := s.removeEngine()
 	s.kill(e)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -21,6 +22,11 @@
 
 // runChild runs a daemon of a variant and returns its exit code.
 func runChild(variant string) int {
+	limit := syscall.Rlimit{Cur: maxFDs, Max: maxFDs}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		fmt.Fprintln(os.Stderr, "limit the descriptors:", err)
+		return 1
+	}
 	if variant == exitsAtTerm {
 		terms := make(chan os.Signal, 1)
 		signal.Notify(terms, syscall.SIGTERM)
@@ -68,6 +74,7 @@
 	s.mutex.Lock()
 	s.exits = append(s.exits, exited)
 	s.mutex.Unlock()
+	go s.watchMemory(p, command, exited)
 	go func() {
 		_ = command.Wait() // killed processes return an error; the checks use the responses instead
 		_ = log.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 port-range: [%d, %d]
 seeds: [%q]
 bootstrap: true
+limits: {cpu-share: 1, cores: 1, memory-mb: %d, max-fds: %d, link-mbps: 1000}
 bounds: {grace-s: %d, retry-ratio: 0.2, retry-window-s: 10, retry-burst: 100, config-apply-ms: 2000}
 platform: {address: %q}
 `
@@ -54,8 +56,10 @@
 	random     *rand.Rand
 	fleet      *standin.Fleet
 	engines    []*standin.Upstream
+	desks      []*standin.Upstream
 	daemons    []*process
 	nextEngine int                // number of the next engine
+	largeCount atomic.Int64       // of requests with large bodies
 	version    int                // of the configuration
 	snapshots  []standin.Snapshot // of the store, one before each fault
 
@@ -77,9 +81,11 @@
 		s.addEngine()
 	}
 	for i := range 2 {
-		if _, err := s.fleet.NewService(fmt.Sprintf("desk-%d", i), "desk"); err != nil {
+		desk, err := s.fleet.NewService(fmt.Sprintf("desk-%d", i), "desk")
+		if err != nil {
 			t.Fatal(err)
 		}
+		s.desks = append(s.desks, desk)
 	}
 	s.configure(1)
 	for i := range *daemonCount {
@@ -103,7 +109,7 @@
 			t.Fatal(err)
 		}
 		text := fmt.Sprintf(settingsTemplate, i, p.addresses[0], p.addresses[1], p.addresses[2], p.addresses[3],
-			port, port+1, s.daemons[0].addresses[2], int(setup.grace.Seconds()), p.storeProxy.address())
+			port, port+1, s.daemons[0].addresses[2], memoryMB, maxFDs, int(setup.grace.Seconds()), p.storeProxy.address())
 		if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
