gateway, dispatch: Name the largest answer, and say when an attempt is halted

Read as a newcomer: a constant and a method had the same name, Halted named only one of its two reasons, and Misleading did not say that the request ran. No behavior changes.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -30,7 +30,7 @@
 // Classification is the outcome that the head of an upstream's answer reports.
 type Classification struct {
 	Failure        dispatch.Failure // NoFailure for a success
-	Misleading     bool             // an error whose status would tell the caller that the request did not run
+	Misleading     bool             // an error of a request that ran, whose status would tell the caller that it did not run
 	Load           dispatch.Load
 	FaultyUpstream string        // the upstream that prevents this one from running the request, empty for none
 	Leaving        bool          // the upstream announces that it shuts down
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -253,7 +253,7 @@
 	case errors.As(err, &callerError{}):
 		e.daemon.enqueueDispatch(dispatch.NewCallerLeft(e.id))
 		failed = failed.WithFailure(dispatch.Halted)
-	case errors.Is(err, errEventMemory):
+	case errors.Is(err, errEventMemory): // the upstream is not to blame
 		failed = failed.WithFailure(dispatch.Halted)
 	case ctx.Err() == nil && hop.IsLost(err):
 		e.daemon.enqueueRelay(relay.NewFailed(e.via.Name(), send.Upstream(), relay.NoRelay))
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -14,8 +14,8 @@
 // defaultMemoryBytes is the memory of an instance whose settings don't state it.
 const defaultMemoryBytes = 512 << 20
 
-// maxAnswerBytes limits one answer that is held, besides its share of the memory for all of them.
-const maxAnswerBytes = 16 << 20
+// answerCeiling limits one answer that is held in bytes, however much memory there is.
+const answerCeiling = 16 << 20
 
 // answersHeld is how many answers of the largest size that is held fit into the memory for them.
 const answersHeld = 4
@@ -38,7 +38,7 @@
 // maxAnswerBytes returns the size of the largest answer that is held.
 func (p *memoryPools) maxAnswerBytes() int {
 	if limit := p.answers.Usage().Limit(); limit > 0 {
-		return int(min(limit/answersHeld, maxAnswerBytes))
+		return int(min(limit/answersHeld, answerCeiling))
 	}
-	return maxAnswerBytes
+	return answerCeiling
 }
--- a/pkg/dispatch/failure.go
+++ b/pkg/dispatch/failure.go
@@ -19,7 +19,7 @@
 	Garbled
 	// Interrupted means that the connection closed before the end of the response.
 	Interrupted
-	// Halted means that a Cancel effect ended the attempt.
+	// Halted means that this daemon ended the attempt: by a Cancel effect, or as it had no memory for an event.
 	Halted
 	// RelayLost means that the connection to the peer that passed the request on closed before the end of the response.
 	RelayLost
