review: Show that a late join takes an engine into a second replica

Cause: once an engine has answered an order to leave, pkg/replica/release.go counts it as released for good, although an earlier copy of its join was not answered and may be carried out later. The engine is then back in its group, whose head serves, when the next join arrives.

--- a/review/kit2/rig/worker.go
+++ b/review/kit2/rig/worker.go
@@ -68,6 +68,7 @@
 	Events          int           // of one answer of an engine
 	EventGap        time.Duration
 	FormTime        time.Duration // from the order to open until the head serves
+	Fleet           *Fleet        // of the engine, nil for none
 }
 
 // Worker is one start of a worker.
@@ -97,6 +98,9 @@
 	staged  []string
 	last    string // model of the last group
 	step    int    // counts the changes of the membership, so that outdated timers end
+	isCut   bool   // from the store
+	late    []*lateOrder
+	seen    map[string]bool // orders that were received, by what they say
 }
 
 // NewWorker starts a worker and registers it.
@@ -142,7 +146,10 @@
 
 // register writes the entry of the worker. The mutex is held.
 func (w *Worker) register() {
-	if w.dead {
+	if w.options.Fleet != nil {
+		w.options.Fleet.update(w.ID, engineState{w.group, w.gEpoch, w.state, w.members, w.dead})
+	}
+	if w.dead || w.isCut {
 		return
 	}
 	entry := map[string]any{
@@ -354,6 +361,12 @@
 		return
 	}
 	w.token = o.Token
+	if w.isLate(o) {
+		w.mutex.Unlock()
+		<-r.Context().Done() // it gets no answer
+		w.mutex.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	status := w.carryOut(o)
 	if status == http.StatusAccepted {
 		w.orders++
@@ -389,6 +402,7 @@
 		}
 		w.step++
 		w.group, w.members, w.state = "", nil, ""
+		w.hasten(o)
 		return http.StatusAccepted
 	case "phase":
 		for _, m := range w.options.Models {
@@ -416,6 +430,9 @@
 		}
 		return http.StatusOK
 	}
+	if w.options.Fleet != nil {
+		w.options.Fleet.checkJoin(w.ID, w.group, w.gEpoch, w.members, o)
+	}
 	duration := time.Duration(0)
 	for _, m := range w.options.Models {
 		switch {
