--- a/review/kit2/rig/gateway.go
+++ b/review/kit2/rig/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,32 +26,38 @@
 	starts          int
 }
 
-// freePorts returns ports of the loopback address that are free now, the first two of them in a row.
-func freePorts(count int) ([]int, error) {
+// The ports of daemons. They are below those that connections get, so that a daemon finds its own free when it starts again.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// freePorts returns ports of the loopback address in a row that are free now, at a place that was not taken before.
+func freePorts(count int, taken map[int]bool) ([]int, error) {
 	for range 100 {
+		first := firstPort + count*rand.IntN(portCount/count)
+		if taken[first] {
+			continue
+		}
+		taken[first] = true
 		var ports []int
 		var open []net.Listener
-		listen := func(port int) bool {
+		for port := first; port < first+count; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 			if err != nil {
-				return false
+				break
 			}
 			open = append(open, l)
-			ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-			return true
-		}
-		isFree := listen(0) && listen(ports[0]+1)
-		for isFree && len(ports) < count {
-			isFree = listen(0)
+			ports = append(ports, port)
 		}
 		for _, l := range open {
 			_ = l.Close() // it only reserved the port
 		}
-		if isFree {
+		if len(ports) == count {
 			return ports, nil
 		}
 	}
-	return nil, fmt.Errorf("no %d free ports", count)
+	return nil, fmt.Errorf("no %d free ports in a row", count)
 }
 
 // NewGateways prepares daemons with the settings of a small deployment; program is the project's program, and folder a temporary one.
@@ -58,8 +65,9 @@
 	var all []*Gateway
 	var ports [][]int
 	var seeds []string
+	taken := map[int]bool{}
 	for i := range count {
-		p, err := freePorts(6)
+		p, err := freePorts(6, taken)
 		if err != nil {
 			return nil, err
 		}
