review: Show that what an engine answered outlives its start

Cause: pkg/replica keeps the answered leave of an engine by its id and its group. When the engine starts again under its id and a late join puts it back into that group, the leader still takes it for released and orders it to join another group, while the head of its group is open (TWO).

Late orders are fenced when they are carried out here, unlike in review/8.

--- a/review/kit2/rig/fleet.go
+++ b/review/kit2/rig/fleet.go
@@ -32,6 +32,11 @@
 // Fleet knows the states of all engines, and what happens to their orders.
 type Fleet struct {
 	Record *Record
+	// Fenced makes late orders reach the present start of their engine, which checks their fencing tokens when it carries them out. Else
+	// they are checked when they arrive, and the start that received them carries them out.
+	Fenced bool
+	// OnMove is called when an engine that has left a group is ordered to join another one. The order is not answered then.
+	OnMove func(*Worker)
 
 	mutex      sync.Mutex
 	states     map[string]engineState
@@ -173,6 +178,9 @@
 
 // hasten carries a late join of a group out soon after the engine has left the group, if it is late enough by then. The mutex is held.
 func (w *Worker) hasten(leave orderBody) {
+	if w.options.Fleet == nil || w.options.Fleet.Fenced {
+		return
+	}
 	for _, late := range w.late {
 		if age := time.Since(late.receivedAt); late.Op == "join" && late.Group == leave.Group && late.Epoch == leave.Epoch && age >= minLate {
 			time.AfterFunc(50*time.Millisecond, func() { w.carryOutLate(late) })
@@ -181,18 +189,64 @@
 }
 
 func (w *Worker) carryOutLate(late *lateOrder) {
+	if w.options.Fleet.Fenced {
+		w = w.options.Fleet.present(w.ID)
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if late.isDone || w.dead {
 		return
 	}
 	late.isDone = true
+	if w.options.Fleet.Fenced && late.Token < w.token {
+		w.options.Fleet.Record.Printf("engine %s refuses the late order %s of group %q epoch %d: fenced", w.ID, late.Op, late.Group, late.Epoch)
+		return
+	}
+	w.token = max(w.token, late.Token)
 	status := w.carryOut(late.orderBody)
 	w.options.Fleet.Record.Printf("engine %s carries out the order %s of group %q epoch %d %.1f s late: %d", w.ID, late.Op, late.Group, late.Epoch,
 		time.Since(late.receivedAt).Seconds(), status)
 	w.register()
 }
 
+// present returns the present start of an engine.
+func (f *Fleet) present(id string) *Worker {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.engines[id]
+}
+
+// Restart ends the engine and starts it again under its id and at its address after a time. Its host keeps the staged models, and orders that
+// are still on their way reach the new start.
+func (w *Worker) Restart(after time.Duration) (*Worker, error) {
+	w.mutex.Lock()
+	w.dead = true
+	w.register()
+	late, staged := w.late, w.staged
+	w.mutex.Unlock()
+	_ = w.server.Close() // the process is gone
+	time.Sleep(after)
+	next, err := newWorkerAt(w.address, w.store, w.log, w.ID, w.options)
+	if err != nil {
+		return nil, err
+	}
+	next.mutex.Lock()
+	next.late, next.staged = late, staged
+	next.register()
+	next.mutex.Unlock()
+	w.options.Fleet.Add(next)
+	return next, nil
+}
+
+// DeliverJoins carries out the joins that arrived long enough ago and were not answered.
+func (w *Worker) DeliverJoins() {
+	for _, late := range w.late {
+		if age := time.Since(late.receivedAt); late.Op == "join" && age >= minLate && age <= maxLate {
+			w.carryOutLate(late)
+		}
+	}
+}
+
 // Cut partitions the engine from the store for a time. Its entry is removed after three heartbeats, and written again afterwards.
 func (w *Worker) Cut(duration time.Duration) {
 	w.mutex.Lock()
--- a/review/kit2/rig/worker.go
+++ b/review/kit2/rig/worker.go
@@ -99,13 +99,18 @@
 	last    string // model of the last group
 	step    int    // counts the changes of the membership, so that outdated timers end
 	isCut   bool   // from the store
+	left    string // the group that it has left last
 	late    []*lateOrder
 	seen    map[string]bool // orders that were received, by what they say
 }
 
 // NewWorker starts a worker and registers it.
 func NewWorker(store *Store, log *Log, id string, options Options) (*Worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newWorkerAt("127.0.0.1:0", store, log, id, options)
+}
+
+func newWorkerAt(address string, store *Store, log *Log, id string, options Options) (*Worker, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -361,6 +366,12 @@
 		return
 	}
 	w.token = o.Token
+	if w.isMove(o) {
+		w.mutex.Unlock()
+		w.options.Fleet.OnMove(w)
+		w.mutex.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if w.isLate(o) {
 		w.mutex.Unlock()
 		<-r.Context().Done() // it gets no answer
@@ -375,6 +386,11 @@
 	out.WriteHeader(status)
 }
 
+// isMove reports whether an order makes the engine join another group than the one that it has left, and somebody waits for that.
+func (w *Worker) isMove(o orderBody) bool {
+	return w.options.Fleet != nil && w.options.Fleet.OnMove != nil && o.Op == "join" && w.left != "" && o.Group != w.left && w.group == ""
+}
+
 // carryOut carries an order out and returns the status of the answer. The mutex is held.
 func (w *Worker) carryOut(o orderBody) int {
 	isMember := w.group == o.Group && w.gEpoch == o.Epoch
@@ -401,6 +417,7 @@
 			return http.StatusOK
 		}
 		w.step++
+		w.left = w.group
 		w.group, w.members, w.state = "", nil, ""
 		w.hasten(o)
 		return http.StatusAccepted
