review: Let the engines of case 7 crash 0.7 s later

Cause: all four replicas have to have a request at work when their domain crashes, and 1.5 s after the daemons are back one of them sometimes had none. An answer still takes longer than the 2.2 s that it is now.

--- a/review/kit2/case7/main.go
+++ b/review/kit2/case7/main.go
@@ -19,7 +19,7 @@
 	recovery     = 12 * time.Second // recovery-s
 	calmTime     = 12 * time.Second // before the final fault
 	downTime     = time.Second
-	crashDelay   = 1500 * time.Millisecond // from when the daemons are back until the engines crash
+	crashDelay   = 2200 * time.Millisecond // from when the daemons are back until the engines crash
 	crashTime    = 4500 * time.Millisecond // for which they are down
 	judgedTime   = 30 * time.Second        // from recovery on
 	startTimeout = 30 * time.Second
