--- a/review/kit2/case10/main.go
+++ b/review/kit2/case10/main.go
@@ -27,19 +27,19 @@
 	cutTime      = 10 * time.Second // of the heads from the store
 	watchTime    = 12 * time.Second // from the cut on
 	downTime     = time.Second
-	deliverAfter = 100 * time.Millisecond // from the start of the engine until the late join reaches it
+	deliverAfter = 10 * time.Millisecond // from the start of the engine until the late join reaches it
 	deadline     = 8 * time.Second
 	perSecond    = 4
 )
 
-// The engines: four replicas of two in one domain, and two more in another one, which is added.
+// The engines: eight replicas of two in two domains, and two more in another domain, which are added.
 const (
-	engineCount = 8
-	addedCount  = 4
-	modelName   = "daka510000"
-	events      = 27
-	eventGap    = 40 * time.Millisecond
-	loadTime    = 2 * time.Second
+	domainSize = 8
+	addedCount = 4
+	modelName  = "daka510000"
+	events     = 27
+	eventGap   = 40 * time.Millisecond
+	loadTime   = 2 * time.Second
 )
 
 const (
@@ -164,6 +164,8 @@
 		record.Summary("the case could not run: %v", err)
 		return 2
 	}
+	late, orders := fleet.LateShare()
+	record.Summary("%d of %d orders got no answer while some were carried out late", late, orders)
 	violations := fleet.Violations()
 	record.Summary("%d of %d requests whole; joins taken while the head of the engine's own group was open: %d (TWO: 0 allowed)",
 		whole.Load(), sent.Load(), len(violations))
@@ -178,11 +180,11 @@
 
 // disturb adds engines, and partitions the heads of their replicas from the store once these are open.
 func disturb(record *rig.Record, store *rig.Store, fleet *rig.Fleet, log *rig.Log, trouble bool) error {
-	added, err := addEngines(store, log, fleet, "d2", engineCount+1, addedCount)
+	added, err := addEngines(store, log, fleet, "d3", 1+2*domainSize, addedCount)
 	if err != nil {
 		return err
 	}
-	record.Printf("%d empty engines added in domain d2", addedCount)
+	record.Printf("%d empty engines added in domain d3", addedCount)
 	time.Sleep(lateAfter)
 	if trouble {
 		fleet.SetLate(true)
@@ -229,8 +231,10 @@
 		return nil, nil, err
 	}
 	store.Write("config", "main", config())
-	if _, err := addEngines(store, log, fleet, "d1", 1, engineCount); err != nil {
-		return nil, nil, err
+	for i, domain := range []string{"d1", "d2"} {
+		if _, err := addEngines(store, log, fleet, domain, 1+i*domainSize, domainSize); err != nil {
+			return nil, nil, err
+		}
 	}
 	gateways, err := rig.NewGateways(program, folder, store.Address, 3)
 	if err != nil {
--- a/review/kit2/case8/main.go
+++ b/review/kit2/case8/main.go
@@ -19,9 +19,9 @@
 const (
 	startTimeout = 30 * time.Second
 	openTime     = 6 * time.Second
-	calmTime     = 3 * time.Second  // of traffic, before anything else
-	lateTime     = 11 * time.Second // two disruptions of 5.5 s in a row
-	scaleAfter   = 500 * time.Millisecond
+	calmTime     = 3 * time.Second         // of traffic, before anything else
+	lateAfter    = 1500 * time.Millisecond // from the scale-out on, before the engines are ordered to join
+	lateTime     = 11 * time.Second        // two disruptions of 5.5 s in a row
 	openTimeout  = 8 * time.Second
 	cutTime      = 10 * time.Second // of the heads from the store
 	watchTime    = 12 * time.Second // from the cut on
@@ -29,14 +29,14 @@
 	perSecond    = 4
 )
 
-// The engines: four replicas of two in one domain, and two more in another one, which is added.
+// The engines: eight replicas of two in two domains, and two more in another domain, which are added.
 const (
-	engineCount = 8
-	addedCount  = 4
-	modelName   = "daka510000"
-	events      = 27
-	eventGap    = 40 * time.Millisecond
-	loadTime    = 2 * time.Second
+	domainSize = 8
+	addedCount = 4
+	modelName  = "daka510000"
+	events     = 27
+	eventGap   = 40 * time.Millisecond
+	loadTime   = 2 * time.Second
 )
 
 const (
@@ -161,6 +161,8 @@
 		record.Summary("the case could not run: %v", err)
 		return 2
 	}
+	late, orders := fleet.LateShare()
+	record.Summary("%d of %d orders got no answer while some were carried out late", late, orders)
 	violations := fleet.Violations()
 	record.Summary("%d of %d requests whole; joins taken while the head of the engine's own group was open: %d (TWO: 0 allowed)",
 		whole.Load(), sent.Load(), len(violations))
@@ -175,16 +177,16 @@
 
 // disturb adds engines, and partitions the heads of their replicas from the store once these are open.
 func disturb(record *rig.Record, store *rig.Store, fleet *rig.Fleet, log *rig.Log, trouble bool) error {
+	added, err := addEngines(store, log, fleet, "d3", 1+2*domainSize, addedCount)
+	if err != nil {
+		return err
+	}
+	record.Printf("%d empty engines added in domain d3", addedCount)
+	time.Sleep(lateAfter)
 	if trouble {
 		fleet.SetLate(true)
 		time.AfterFunc(lateTime, func() { fleet.SetLate(false) })
 	}
-	time.Sleep(scaleAfter)
-	added, err := addEngines(store, log, fleet, "d2", engineCount+1, addedCount)
-	if err != nil {
-		return err
-	}
-	record.Printf("%d empty engines added in domain d2", addedCount)
 	for limit := time.Now().Add(openTimeout); len(fleet.OpenHeads(added)) < addedCount/2; time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(limit) {
 			return fmt.Errorf("the replicas of the added engines did not open")
@@ -210,8 +212,10 @@
 		return nil, nil, err
 	}
 	store.Write("config", "main", config())
-	if _, err := addEngines(store, log, fleet, "d1", 1, engineCount); err != nil {
-		return nil, nil, err
+	for i, domain := range []string{"d1", "d2"} {
+		if _, err := addEngines(store, log, fleet, domain, 1+i*domainSize, domainSize); err != nil {
+			return nil, nil, err
+		}
 	}
 	gateways, err := rig.NewGateways(program, folder, store.Address, 3)
 	if err != nil {
--- a/review/kit2/rig/worker.go
+++ b/review/kit2/rig/worker.go
@@ -81,27 +81,28 @@
 	server  *http.Server
 	born    int64
 
-	mutex   sync.Mutex
-	dead    bool
-	seq     int
-	running int
-	waiting int
-	streams []*stream // of an engine, the newest last
-	token   uint64
-	orders  int
-	epoch   uint64 // the highest that was ordered
-	group   string
-	gEpoch  uint64 // of the group
-	members []string
-	state   string // of the member
-	loaded  string
-	staged  []string
-	last    string // model of the last group
-	step    int    // counts the changes of the membership, so that outdated timers end
-	isCut   bool   // from the store
-	left    string // the group that it has left last
-	late    []*lateOrder
-	seen    map[string]bool // orders that were received, by what they say
+	mutex       sync.Mutex
+	dead        bool
+	seq         int
+	running     int
+	waiting     int
+	streams     []*stream // of an engine, the newest last
+	token       uint64
+	orders      int
+	epoch       uint64 // the highest that was ordered
+	group       string
+	gEpoch      uint64 // of the group
+	members     []string
+	state       string // of the member
+	loaded      string
+	staged      []string
+	last        string // model of the last group
+	step        int    // counts the changes of the membership, so that outdated timers end
+	isCut       bool   // from the store
+	isRestarted bool
+	left        string // the group that it has left last
+	late        []*lateOrder
+	seen        map[string]bool // orders that were received, by what they say
 }
 
 // NewWorker starts a worker and registers it.
