route: Need a key also when no key is left

Cause: the configuration kept organisations by their keys only, and read an empty map as "no organisations are configured".

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -49,16 +49,16 @@
 }
 
 // authorise looks up the organisation of a request by its key, and reports whether the request is admitted: its key is
-// known, its route is public, or no organisation is configured.
+// known, its route is public, or the configuration has no organisations at all.
 func (s *State) authorise(c *call) bool {
 	c.priority, c.regions = c.route.Priority(), c.route.HomeRegions()
-	organisation, isKnown, noKeyNeeded := s.config.Organisation(c.key)
+	organisation, isKnown := s.config.Organisation(c.key)
 	if isKnown {
 		c.organisation, c.priority = organisation.Name(), organisation.Priority(c.priority)
 		c.regions = c.regions.And(organisation.HomeRegions())
 		return true
 	}
-	return c.route.Public() || noKeyNeeded
+	return c.route.Public() || !s.config.NeedsKeys()
 }
 
 // deadlineOf returns the deadline of a call: the route's timeout, or the caller's if that is shorter.
--- a/pkg/jsontext/jsontext.go
+++ b/pkg/jsontext/jsontext.go
@@ -60,13 +60,18 @@
 	return fields, s.end(ErrNoObject)
 }
 
+// HasValue reports whether an object has a field that is not null.
+func HasValue(fields map[string]json.RawMessage, name string) bool {
+	raw := fields[name]
+	return raw != nil && string(raw) != "null"
+}
+
 // ElementsOf returns the elements of an array among the fields of an object, none if it is missing or null. Its errors are those of Elements.
 func ElementsOf(fields map[string]json.RawMessage, name string) ([]json.RawMessage, error) {
-	raw := fields[name]
-	if raw == nil || string(raw) == "null" {
+	if !HasValue(fields, name) {
 		return nil, nil
 	}
-	elements, err := Elements(raw)
+	elements, err := Elements(fields[name])
 	if err != nil {
 		return nil, fmt.Errorf("field %q: %w", name, err)
 	}
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -8,6 +8,7 @@
 	routes        []Route
 	services      map[string]Service
 	organisations map[string]Organisation // by API key
+	needsKeys     bool
 	limits        Limits
 }
 
@@ -35,12 +36,21 @@
 	return c
 }
 
-// WithOrganisation returns the configuration with an organisation and its API keys.
+// WithKeys returns the configuration as one whose routes need an API key unless they are public, also if no organisation has one.
+func (c Config) WithKeys() Config {
+	c.needsKeys = true
+	return c
+}
+
+// WithOrganisation returns the configuration with an organisation and its API keys, which may be none. An empty key is ignored, since it
+// would admit requests without a key.
 func (c Config) WithOrganisation(o Organisation, keys ...string) Config {
 	for _, key := range keys {
-		c.organisations[key] = o
+		if key != "" {
+			c.organisations[key] = o
+		}
 	}
-	return c
+	return c.WithKeys()
 }
 
 // WithLimits returns the configuration with limits on requests and connections of callers.
@@ -75,12 +85,18 @@
 	return found, found.name != ""
 }
 
-// Organisation returns the organisation of an API key; noKeyNeeded reports that no organisation is configured.
-func (c Config) Organisation(key string) (o Organisation, isKnown, noKeyNeeded bool) {
+// Organisation returns the organisation of an API key.
+func (c Config) Organisation(key string) (o Organisation, isKnown bool) {
 	o, isKnown = c.organisations[key]
-	return o, isKnown, len(c.organisations) == 0
+	return o, isKnown
 }
 
+// HasKeys reports whether an organisation has an API key.
+func (c Config) HasKeys() bool { return len(c.organisations) > 0 }
+
+// NeedsKeys reports whether requests of routes that are not public need an API key of an organisation.
+func (c Config) NeedsKeys() bool { return c.needsKeys }
+
 // Organisation is a customer whose callers send its API keys.
 type Organisation struct {
 	name           string
