caller: Let an organisation without targets call none

An organisation whose last target was taken away (targets: []) could call every model and service: an empty list was read as "all", while the list of models that it may call was already empty.

The restriction is a value of its own now.

--- a/pkg/caller/settings.go
+++ b/pkg/caller/settings.go
@@ -107,19 +107,26 @@
 
 // Organisation is a customer with a weight, which sets its share of every target that it may use.
 type Organisation struct {
-	name    string
-	weight  int
-	targets []string
+	name         string
+	weight       int
+	targets      []string
+	isRestricted bool
 }
 
 // NewOrganisation returns an organisation whose share is its weight divided by the sum of all weights. Without targets,
 // it may use all of them.
 func NewOrganisation(name string, weight int, targets ...string) Organisation {
-	return Organisation{name, weight, targets}
+	return Organisation{name, weight, targets, len(targets) > 0}
+}
+
+// WithTargets returns the organisation with the only targets that it may use, which may be none.
+func (o Organisation) WithTargets(targets ...string) Organisation {
+	o.targets, o.isRestricted = targets, true
+	return o
 }
 
 func (o Organisation) mayUse(target string) bool {
-	if len(o.targets) == 0 {
+	if !o.isRestricted {
 		return true
 	}
 	for _, allowed := range o.targets {
--- a/pkg/reducer/configure.go
+++ b/pkg/reducer/configure.go
@@ -60,7 +60,7 @@
 	}
 	var organisations []caller.Organisation
 	for _, o := range fleet.Organisations() {
-		organisations = append(organisations, caller.NewOrganisation(o.Name(), o.Share(), o.Targets()...))
+		organisations = append(organisations, caller.NewOrganisation(o.Name(), o.Share()).WithTargets(o.Targets()...))
 	}
 	maxQueue := 0
 	for _, config := range fleet.Configs() {
