route: Send nothing to a service without a weight

If all services of a route had weight 0, or rounding left none, the last one got the requests, also with weight 0. Such a service is one to which the configuration sends nothing.

A request without a service is refused at once, as one without an upstream.

--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -129,22 +129,23 @@
 	return r.kind == Idempotent || r.kind == Stream && r.resumable
 }
 
-// PickService returns the service for a request by weight; random is uniform in [0, 1).
+// PickService returns the service for a request by weight, empty if none has one; random is uniform in [0, 1).
 func (r Route) PickService(random float64) string {
 	total := 0.0
 	for _, s := range r.split {
-		total += s.weight
+		total += max(s.weight, 0)
 	}
-	remaining := random * total
+	remaining, last := random*total, ""
 	for _, s := range r.split {
+		if s.weight <= 0 {
+			continue
+		}
 		if remaining -= s.weight; remaining < 0 {
 			return s.service
 		}
+		last = s.service // the sum may be rounded
 	}
-	if len(r.split) == 0 {
-		return ""
-	}
-	return r.split[len(r.split)-1].service
+	return last
 }
 
 // WeightedService is a service that gets a part of a route's requests in proportion to its weight.
