transport: Notice a reset whose error a write has taken

Cause: a socket reports its error once. The write of the upload took that of the reset, and the read saw a plain end.

A read that reports the end of a connection now asks whether both directions are closed; an orderly end closes one. That holds for the pool of upstreams and for the transports of net/http, and so for calls, streams, requests that pass through a peer, orders, reports and the store.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -15,6 +15,12 @@
 	closed       bool
 }
 
+// Read reads from the network.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, endOfRead(c.Conn, err)
+}
+
 // Write writes p to the network unless the connection is closed.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.mutex.Lock()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -101,14 +101,15 @@
 // Read reads from the connection, within the limit of a head.
 func (c *Conn) Read(b []byte) (int, error) {
 	if !c.isReadingHead {
-		return c.Conn.Read(b)
+		n, err := c.Conn.Read(b)
+		return n, endOfRead(c.Conn, err)
 	}
 	if c.headBytes <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.headBytes)])
 	c.headBytes -= n
-	return n, err
+	return n, endOfRead(c.Conn, err)
 }
 
 // Opened returns the number of connections opened so far.
