transport: Refuse answers that HTTP/1 does not allow

Answers with status 000, 099, +20 and 101 were skipped as informational, and what followed was read as the answer.

Cause: http.ReadResponse accepts more than the protocol does, and nothing checked what it had accepted.

The pool checks the bytes of a head before it is parsed, and Send what net/http returns. A malformed answer fails the attempt after it was sent; the error says what is wrong. Folded lines and line ends without a carriage return are read as before, as HTTP/1.1 allows.

--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -132,6 +132,9 @@
 	e.conn.limitHead()
 	defer e.conn.unlimitHead()
 	for range maxResponsesPerRequest {
+		if err := e.conn.checkHead(); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return err
@@ -204,7 +207,7 @@
 	}
 	r := e.Response
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return e.match == Own && framed && !r.Close && e.conn.reader.Buffered() == 0
+	return e.match == Own && framed && !r.Close && e.conn.reader.Buffered() == 0 && !e.conn.hasLargeHead
 }
 
 // Abort ends an exchange and closes its connection.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -88,6 +88,7 @@
 	isReadingHead bool
 	isReused      bool // it was idle before
 	hasAnswered   bool // a response was read from it
+	hasLargeHead  bool // reader has a larger buffer than usual
 }
 
 // errHeadTooLarge says that the head of an answer exceeds maxHeadBytes.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -72,7 +72,7 @@
 }
 
 // Send sends a request and follows no redirect. If err is not nil, sent reports whether any byte of the request may
-// have left this process.
+// have left this process. An answer that HTTP does not allow is an error, ErrMalformed.
 func Send(roundTripper http.RoundTripper, request *http.Request) (response *http.Response, sent bool, err error) {
 	var conn *countedConn
 	var writtenBefore int64
@@ -88,7 +88,11 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err = roundTripper.RoundTrip(request)
 	if err == nil {
-		return response, true, nil
+		if err = checkResponse(response); err == nil {
+			return response, true, nil
+		}
+		_ = response.Body.Close() // it is not read
+		return nil, true, err
 	}
 	if conn == nil {
 		return nil, connUncounted, err
