gateway: Take the memory for heads of requests from a pool

Crowds of clients ended a daemon: requests of legal size with very many short header lines took 150 to 250 KB each, also while their heads were still open, and some 3 MB each at the ports of peers, address lists, readiness and metrics.

Cause: net/http parses a head into a map as it arrives, a limit in bytes says nothing of the lines, and heads drew on no pool. The other ports had net/http's limit of 1 MB.

Connections now read the bytes of a head before the server gets them, and take its memory by bytes and lines from a pool of 0.08 of the memory, beyond 8 KB each. Without memory, the head is answered as not run with 503 and Retry-After, and the connection is closed. Nothing behind a head is buffered with it; behind a body it may be, and then the connection closes after the answer. Connections of callers may take half of the memory.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -44,6 +44,12 @@
 	return memory.ReadBody(ctx, &d.memory.requests, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
 }
 
+// hasPipelined reports whether the server may have read a part of the next request with the body of this one.
+func hasPipelined(r *http.Request) bool {
+	c, isCounted := r.Context().Value(callerConnKey{}).(*headConn)
+	return isCounted && r.ContentLength != 0 && c.hasMoreThan(r.ContentLength)
+}
+
 // timeoutOf returns how long a request may take, by its caller and its route, 0 if neither says so.
 func (d *Daemon) timeoutOf(r *http.Request, matched route.Route) time.Duration {
 	timeout := d.adapter.Headers.ParseRequest(0, r, 0).Timeout()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -55,6 +55,10 @@
 		return
 	}
 	defer body.Free()
+	if hasPipelined(r) {
+		w.Header().Set("Connection", "close") // the server may have read a head without its memory
+	}
+	r.Trailer = nil // it is not forwarded, and may be large
 	e := d.register(w, r, body.Bytes(), time.Since(began))
 	defer d.unregister(e)
 	stop := context.AfterFunc(r.Context(), func() { d.enqueueDispatch(dispatch.NewCallerLeft(e.id)) })
--- a/internal/gateway/connlimit.go
+++ b/internal/gateway/connlimit.go
@@ -51,9 +51,14 @@
 	return connUsage{l.limit, len(l.conns), l.idle.Len(), l.peak, l.timedOut, l.excess}
 }
 
-// apply makes a server report its connections to the limiter.
+// apply makes a server report its connections to the limiter, and to those that count the memory of heads.
 func (l *connLimiter) apply(server *http.Server) *http.Server {
-	server.ConnState = func(c net.Conn, state http.ConnState) { l.observe(time.Now(), c, state) }
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if counted, isCounted := c.(*headConn); isCounted {
+			counted.observe(state)
+		}
+		l.observe(time.Now(), c, state)
+	}
 	return server
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -109,14 +109,14 @@
 	group.Go(func() error { return d.hub.Run(serveCtx, listeners[peerListener]) })
 	group.Go(func() error { return d.tick(serveCtx) })
 	group.Go(func() error { return d.sweepConnections(serveCtx) })
-	callers := &callerServer{daemon: d, listener: d.retryAccept(listeners[callerListener])}
+	callers := &callerServer{daemon: d, listener: d.acceptHTTP(listeners[callerListener])}
 	d.runServer(serveCtx, group, callers, callers.Serve)
 	for index, handler := range map[int]http.Handler{
 		readinessListener: d.adapter.Endpoints.ReadinessHandler(d.ready.Load),
 		directoryListener: d.adapter.Endpoints.AddressHandler(d.selectAddresses),
 		metricsListener:   metricsHandler(d.registry),
 	} {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes}
 		d.serveHTTP(serveCtx, group, d.conns.administration.apply(server), listeners[index])
 	}
 	d.serveHTTP(serveCtx, group, d.conns.peers.apply(hop.NewServer(&d.pool, relayDriver{d}).HTTP()), listeners[relayListener])
@@ -239,7 +239,7 @@
 
 // serveHTTP runs an HTTP server in group until ctx is cancelled.
 func (d *Daemon) serveHTTP(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
-	listener = d.retryAccept(listener)
+	listener = d.acceptHTTP(listener)
 	d.runServer(ctx, group, server, func() error { return server.Serve(listener) })
 }
 
@@ -259,6 +259,11 @@
 	})
 }
 
+// acceptHTTP returns the listener of an HTTP server, which accepts again after temporary errors, and takes the memory for heads.
+func (d *Daemon) acceptHTTP(listener net.Listener) net.Listener {
+	return headListener{d.retryAccept(listener), &d.memory.heads}
+}
+
 // retryAccept returns the listener, which accepts again after temporary errors.
 func (d *Daemon) retryAccept(listener net.Listener) net.Listener {
 	return transport.Retry(listener, func(err error) {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -9,6 +9,7 @@
 	answerShare  = 0.12 // answers that are held before they are forwarded
 	eventShare   = 0.05 // events that have not arrived completely
 	requestShare = 0.18 // bodies of requests of callers and peers, which may need another attempt
+	headShare    = 0.08 // heads of requests
 )
 
 // defaultMemoryBytes is the memory of an instance whose settings don't state it.
@@ -22,7 +23,7 @@
 
 // memoryPools are the pools of one daemon.
 type memoryPools struct {
-	answers, events, requests memory.Pool
+	answers, events, requests, heads memory.Pool
 }
 
 // setLimits divides the memory of the instance, 0 if it is unknown.
@@ -33,6 +34,7 @@
 	p.answers.SetLimit(int64(answerShare * float64(instanceBytes)))
 	p.events.SetLimit(int64(eventShare * float64(instanceBytes)))
 	p.requests.SetLimit(int64(requestShare * float64(instanceBytes)))
+	p.heads.SetLimit(int64(headShare * float64(instanceBytes)))
 }
 
 // maxAnswerBytes returns the size of the largest answer that is held.
--- a/internal/gateway/resources.go
+++ b/internal/gateway/resources.go
@@ -10,7 +10,7 @@
 // limitResources divides the memory and the connections that the settings allow.
 func (d *Daemon) limitResources(s Settings) {
 	d.memory.setLimits(s.MemoryBytes)
-	maxIdleUpstream, maxLinks := d.conns.setLimits(s.MaxConnections)
+	maxIdleUpstream, maxLinks := d.conns.setLimits(s.MaxConnections, s.MemoryBytes)
 	d.pool.SetMaxIdle(maxIdleUpstream)
 	d.hub.SetMaxInbound(maxLinks)
 }
@@ -45,7 +45,9 @@
 	if d.scarce == nil {
 		d.scarce = scarcity{}
 	}
-	for holder, pool := range map[string]*memory.Pool{"answers": &d.memory.answers, "events": &d.memory.events, "requests": &d.memory.requests} {
+	for holder, pool := range map[string]*memory.Pool{
+		"answers": &d.memory.answers, "events": &d.memory.events, "requests": &d.memory.requests, "heads": &d.memory.heads,
+	} {
 		u := pool.Usage()
 		d.recorder.SetGauge(metrics.MemoryUsed, u.Used(), holder)
 		d.recorder.SetGauge(metrics.MemoryPeak, u.Peak(), holder)
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -28,7 +28,7 @@
 	if e.request == nil || !isUnframed(e.request) {
 		return
 	}
-	if c, isTCP := e.request.Context().Value(callerConnKey{}).(*net.TCPConn); isTCP {
+	if c, isTCP := e.request.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error }); isTCP {
 		_ = c.SetLinger(seconds) // fails only if the connection is closed
 	}
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -133,7 +133,7 @@
 	MemoryUsed = Metric{
 		"azurepond_memory_used_bytes",
 		[]string{"holder"},
-		"bytes", "Memory for answers that are held, for events that have not arrived completely, and for bodies of requests.",
+		"bytes", "Memory for answers that are held, for events that have not arrived completely, and for bodies and heads of requests.",
 	}
 	MemoryPeak = Metric{
 		"azurepond_memory_peak_bytes",
@@ -148,7 +148,7 @@
 	MemoryRefusals = Metric{
 		"azurepond_memory_refusals_total",
 		[]string{"holder"},
-		"refusals", "How often a holder found no memory: an answer was not held, an event ended its stream, or a body was refused.",
+		"refusals", "How often a holder found no memory: an answer was not held, an event ended its stream, or a body or a head was refused.",
 	}
 	MemoryWaiting = Metric{
 		"azurepond_memory_waiting",
--- a/internal/resident/daemon_test.go
+++ b/internal/resident/daemon_test.go
@@ -52,6 +52,7 @@
 // daemon is a process of the program.
 type daemon struct {
 	front, ready, control, metrics string
+	directory, relay               string
 	logFile                        string
 	command                        *exec.Cmd
 	exited                         chan struct{}
@@ -69,6 +70,7 @@
 	}
 	d := &daemon{
 		front: addresses[0], ready: addresses[1], control: addresses[2], metrics: fmt.Sprintf("127.0.0.1:%d", port+1),
+		directory: addresses[3], relay: addresses[4],
 		exited: make(chan struct{}),
 	}
 	if seed == "" {
--- a/internal/resident/load_test.go
+++ b/internal/resident/load_test.go
@@ -27,6 +27,7 @@
 type platform struct {
 	store   *standin.Store
 	address string
+	config  map[string]any
 }
 
 func startPlatform(t testing.TB) *platform {
@@ -48,7 +49,7 @@
 			"goal-ms": 300, "service": service, "attempts": 2, "resumable": true, "public": true,
 		})
 	}
-	err := p.store.Write("config", "main", map[string]any{
+	p.config = map[string]any{
 		"version": 1, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "desk", "health-path": "/healthz", "max-conns": 464},
@@ -59,13 +60,27 @@
 			}},
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": maxBodyBytes, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
+	p.writeConfig(t)
 	return p
 }
 
+func (p *platform) writeConfig(t testing.TB) {
+	if err := p.store.Write("config", "main", p.config); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// addClosedRoute adds an organisation, and the route /closed/ which needs its key. It must be called before the first daemon is started.
+func (p *platform) addClosedRoute(t testing.TB) {
+	p.config["routes"] = append(p.config["routes"].([]any), map[string]any{
+		"name": "closed", "host": "p", "path-prefix": "/closed/", "type": "idempotent", "timeout-ms": callTimeout.Milliseconds(),
+		"goal-ms": 300, "service": "desk", "attempts": 2,
+	})
+	p.config["tenants"] = []any{map[string]any{"name": "one", "api-keys": []any{"k1"}}}
+	p.writeConfig(t)
+}
+
 // callers sends requests to daemons without a pause.
 type callers struct {
 	daemons []*daemon
