gateway: Take the memory for a large body when its beginning has arrived

Eight strangers that declared bodies of 4 MB and sent a byte a second left no ordinary body of 2 MB served: the whole length was taken from the pool before the first byte, no time limited the arrival, and the key was checked after the body.

A large body takes 64 KB until these have arrived, and then waits for the rest in the order of arrival. It must arrive within the time of its request (408 after that); while others wait for memory, one of which nothing arrives for a second, or less than 64 KB per second, is halted. A request without a route or a key that its route needs is refused before a long body. A request to the port of peers that names no upstream is refused before its body.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/memory"
+	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -41,7 +45,30 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), d.bodyWait(r))
 	defer cancel()
-	return memory.ReadBody(ctx, &d.memory.requests, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	return d.readInTime(ctx, w, r, http.MaxBytesReader(w, r.Body, limit), limit)
+}
+
+// readInTime reads a body of at most limit bytes from content. The body must arrive within the time of its request.
+func (d *Daemon) readInTime(ctx context.Context, w http.ResponseWriter, r *http.Request, content io.Reader, limit int64) (*memory.Body, error) {
+	matched, _ := d.config.Load().Match(r.Host, r.URL.Path)
+	read := d.bodies.begin(w, content, cmp.Or(d.timeoutOf(r, matched), dispatch.DefaultTimeout))
+	defer d.bodies.end(read)
+	body, err := memory.ReadBody(ctx, &d.memory.requests, read, r.ContentLength, limit)
+	if err != nil && read.isHalted() {
+		err = errBodyHalted
+	}
+	return body, err
+}
+
+// refusalBeforeBody returns why a request with a long body, or one of unknown length, is refused, and whether it is: nobody may hold the memory
+// for a body without a key.
+func (d *Daemon) refusalBeforeBody(r *http.Request) (dispatch.Reason, bool) {
+	config := d.config.Load()
+	isShort := r.ContentLength >= 0 && r.ContentLength <= memory.FreeBodyBytes
+	if isShort || config.Revision() == 0 {
+		return 0, false
+	}
+	return dispatch.RefusalOf(*config, d.adapter.Headers.ParseRequest(0, r, 0))
 }
 
 // hasPipelined reports whether the server may have read a part of the next request with the body of this one.
@@ -97,6 +124,10 @@
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		w.Header().Set("Retry-After", strconv.FormatFloat(resourceRetryAfter.Seconds(), 'f', 2, 64))
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, errBodyHalted), errors.Is(err, os.ErrDeadlineExceeded):
+		d.log.Info("caller", "body not received in time", "id", id, "length", r.ContentLength, "err", err.Error())
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the body was not received in time", http.StatusRequestTimeout)
 	default:
 		d.log.Info("caller", "cannot read body", "id", id, "err", err.Error())
 		panic(http.ErrAbortHandler)
@@ -113,11 +144,11 @@
 }
 
 // ReadBody reads the body of a request of a peer.
-func (d relayDriver) ReadBody(r *http.Request, limit int64) (*memory.Body, error) {
+func (d relayDriver) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*memory.Body, error) {
 	if r.ContentLength == 0 {
 		return &memory.Body{}, nil
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), maxRelayedBodyWait)
 	defer cancel()
-	return memory.ReadBody(ctx, &d.memory.requests, r.Body, r.ContentLength, limit)
+	return d.readInTime(ctx, w, r, r.Body, limit)
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -48,6 +48,12 @@
 		d.refuseConnection(w, r)
 		return
 	}
+	if reason, isRefused := d.refusalBeforeBody(r); isRefused {
+		d.log.Info("caller", "refused before its body", "id", d.adapter.Headers.ParseRequest(0, r, 0).Name(), "reason", reason)
+		w.Header().Set("Connection", "close") // the body is not read
+		http.Error(w, reason.String(), refusalStatus(reason))
+		return
+	}
 	began := time.Now()
 	body, err := d.readBody(w, r)
 	if err != nil {
@@ -143,18 +149,22 @@
 // writeRefusal answers that the request did not run.
 func (e *exchange) writeRefusal(r dispatch.Refuse) {
 	writer := e.answerWriter()
-	status := http.StatusServiceUnavailable
-	switch r.Reason() {
-	case dispatch.NoRoute:
-		status = http.StatusNotFound
-	case dispatch.UnknownKey:
-		status = http.StatusUnauthorized
-	}
 	if r.RetryAfter() > 0 {
 		seconds := strconv.FormatFloat(r.RetryAfter().Seconds(), 'f', 2, 64)
 		writer.Header().Set("Retry-After", seconds)
 	}
-	http.Error(writer, r.Reason().String(), status)
+	http.Error(writer, r.Reason().String(), refusalStatus(r.Reason()))
+}
+
+// refusalStatus returns the status of a refusal.
+func refusalStatus(reason dispatch.Reason) int {
+	switch reason {
+	case dispatch.NoRoute:
+		return http.StatusNotFound
+	case dispatch.UnknownKey:
+		return http.StatusUnauthorized
+	}
+	return http.StatusServiceUnavailable
 }
 
 // writeFailure answers that all attempts failed; if part of an answer was sent, it aborts the connection.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -46,6 +46,7 @@
 	lastRequestID     atomic.Uint64
 	lastRelayID       atomic.Uint64
 	memory            memoryPools
+	bodies            bodyReads
 	conns             connLimiters
 	scarce            scarcity // used by recordResources only
 	ctx               context.Context
@@ -223,6 +224,7 @@
 			return nil
 		case now := <-ticker.C:
 			d.pool.Sweep(now)
+			d.bodies.haltSlow(now, d.memory.requests.Usage().Waiting())
 			d.conns.closeIdle(now, d.config.Load().Limits().IdleTimeout())
 			d.recordResources(now)
 			d.recorder.SetGauge(metrics.UpstreamConnections, d.pool.Opened())
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -11,8 +11,8 @@
 
 var errTooLong = errors.New("body exceeds its length or limit")
 
-// freeBodyBytes is the length of a body that is not taken from the pool, so that short ones are read in any case.
-const freeBodyBytes = 4 << 10
+// FreeBodyBytes is the length of a body that is not taken from the pool, so that short ones are read in any case.
+const FreeBodyBytes = 4 << 10
 
 // Body is a body of a request that was read completely. The zero value is an empty one.
 type Body struct {
@@ -33,15 +33,19 @@
 }
 
 // ReadBody reads a body of length bytes, or of unknown length if that is negative, and then of at most limit bytes. It waits for the memory
-// until ctx ends, before it reads, and returns ErrNoMemory if there is none, or the error of the body.
+// until ctx ends, before it reads, and returns ErrNoMemory if there is none, or the error of the body. The memory for a large body is taken
+// when its beginning has arrived, so that a caller which sends nothing holds little.
 func ReadBody(ctx context.Context, pool *Pool, r io.Reader, length, limit int64) (*Body, error) {
 	b := &Body{pool: pool}
 	sizes := []int64{length}
-	if length < 0 {
-		sizes = []int64{min(freeBodyBytes, limit), min(smallHolderBytes, limit), limit}
+	switch {
+	case length < 0:
+		sizes = []int64{min(FreeBodyBytes, limit), min(smallHolderBytes, limit), limit}
+	case length > smallHolderBytes:
+		sizes = []int64{smallHolderBytes, length}
 	}
 	for _, size := range sizes {
-		if size > freeBodyBytes && !b.take(ctx, size-int64(len(b.bytes))) {
+		if size > FreeBodyBytes && !b.take(ctx, size-int64(len(b.bytes))) {
 			b.Free()
 			return nil, ErrNoMemory
 		}
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -156,15 +156,15 @@
 	Convey("Bodies of known and unknown length are read whole, and their memory is given back", t, func() {
 		var p Pool
 		p.SetLimit(1 << 20)
-		for _, size := range []int{0, 1, freeBodyBytes, freeBodyBytes + 1, smallHolderBytes, smallHolderBytes + 1, limit - 1, limit} {
+		for _, size := range []int{0, 1, FreeBodyBytes, FreeBodyBytes + 1, smallHolderBytes, smallHolderBytes + 1, limit - 1, limit} {
 			text := strings.Repeat("x", size)
 			for _, length := range []int64{int64(size), -1} {
 				for _, r := range []io.Reader{strings.NewReader(text), iotest.HalfReader(strings.NewReader(text)), iotest.DataErrReader(strings.NewReader(text))} {
 					b, err := ReadBody(ctx, &p, r, length, limit)
 					So(err, ShouldBeNil)
 					So(string(b.Bytes()) == text, ShouldBeTrue)
-					if size > freeBodyBytes {
-						So(p.Usage().Used(), ShouldBeGreaterThanOrEqualTo, size-freeBodyBytes-2) // a byte more is read of each size
+					if size > FreeBodyBytes {
+						So(p.Usage().Used(), ShouldBeGreaterThanOrEqualTo, size-FreeBodyBytes-2) // a byte more is read of each size
 					}
 					b.Free()
 					So(p.Usage().Used(), ShouldEqual, 0)
@@ -176,7 +176,7 @@
 	Convey("A body that breaks off, or is longer than its length or limit, is an error", t, func() {
 		var p Pool
 		broken := iotest.ErrReader(io.ErrUnexpectedEOF) // as of a body in chunks that is cut
-		for _, size := range []int{0, 1, freeBodyBytes, smallHolderBytes, limit} {
+		for _, size := range []int{0, 1, FreeBodyBytes, smallHolderBytes, limit} {
 			text := strings.Repeat("x", size)
 			_, err := ReadBody(ctx, &p, strings.NewReader(text), int64(size)+1, limit)
 			So(err, ShouldEqual, io.ErrUnexpectedEOF)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func (d *driver) ReadBody(r *http.Request, limit int64) (*memory.Body, error) {
+func (d *driver) ReadBody(_ http.ResponseWriter, r *http.Request, limit int64) (*memory.Body, error) {
 	ctx, cancel := context.WithTimeout(r.Context(), d.bodyWait)
 	defer cancel()
 	return memory.ReadBody(ctx, &d.bodies, r.Body, r.ContentLength, limit)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -23,7 +23,7 @@
 	// Admit decides whether a request is passed on; end must be called when an admitted one has ended.
 	Admit(ctx context.Context, upstream string, kind Kind) (decision Decision, end func())
 	// ReadBody reads the body of a request, which has at most limit bytes. It returns memory.ErrNoMemory if there is no memory for it.
-	ReadBody(r *http.Request, limit int64) (*memory.Body, error)
+	ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*memory.Body, error)
 	// Match returns how an answer with these headers relates to a request.
 	Match(answer http.Header, request *http.Request) transport.Match
 	// RemoveHopHeaders removes the hop-by-hop headers.
@@ -52,8 +52,13 @@
 // ServeHTTP passes one request on.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	upstream, kind := r.Header.Get(upstreamHeader), Kind(r.Header.Get(kindHeader))
+	if upstream == "" { // no daemon sent it
+		w.Header().Set("Connection", "close")
+		refuse(w, Unfit)
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
-	body, err := s.driver.ReadBody(r, MaxBodyBytes)
+	body, err := s.driver.ReadBody(w, r, MaxBodyBytes)
 	if errors.Is(err, memory.ErrNoMemory) {
 		refuse(w, Busy)
 		return
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -61,6 +61,16 @@
 	return c.route.Public() || !s.config.NeedsKeys()
 }
 
+// RefusalOf returns the reason for which a configuration refuses a request whatever its body is, and whether there is one.
+func RefusalOf(config route.Config, r Request) (Reason, bool) {
+	matched, isKnown := config.Match(r.host, r.path)
+	if !isKnown {
+		return NoRoute, true
+	}
+	_, hasKey := config.Organisation(r.key)
+	return UnknownKey, !hasKey && !matched.Public() && config.NeedsKeys()
+}
+
 // deadlineOf returns the deadline of a call: the route's timeout, or the caller's if that is shorter.
 func (s *State) deadlineOf(now time.Time, c *call) time.Time {
 	limit := c.route.Timeout()
@@ -68,13 +78,13 @@
 		limit = c.timeout
 	}
 	if limit <= 0 {
-		limit = defaultTimeout
+		limit = DefaultTimeout
 	}
 	return now.Add(limit)
 }
 
-// defaultTimeout applies to requests for which neither the caller nor the route sets a timeout.
-const defaultTimeout = time.Minute
+// DefaultTimeout applies to requests for which neither the caller nor the route sets a timeout.
+const DefaultTimeout = time.Minute
 
 // isModelCall reports whether the service of a call runs models; other services are called plain.
 func (s *State) isModelCall(c *call) bool {
