replica: Release no member by an answer that an older order may undo

Cause: an answered leave was proof for good. A join of the same replica that was not answered may be carried out after it, and what an instance answered outlived its start, in which an older join may still arrive. A report that it is a member again was ignored.

The leader keeps joins and openings that were not answered for the 13 s in which they may be carried out. A member whose head is not reachable is released by a leave answered after that; a head whose opening was not answered has to leave. What an instance answered is forgotten when it starts again.

--- a/pkg/replica/closing_test.go
+++ b/pkg/replica/closing_test.go
@@ -84,8 +84,8 @@
 func TestClosesOfEarlierLeadership(t *testing.T) {
 	Convey("A leader that has led before asks heads again whether they are closed", t, func() {
 		r := newClosingReplica()
-		r.closed[closingEpoch] = true
-		r.departures[departure{"head", closingEpoch}] = true
+		r.closed[closingEpoch] = "head"
+		r.departures[departure{"head", 1, closingEpoch}] = r.now
 		r.now = r.now.Add(maxReportLag)
 		r.report(0, PhaseReady)
 		r.Reduce(r.now, NewLeadershipChanged(true))
--- a/pkg/replica/disturbances_test.go
+++ b/pkg/replica/disturbances_test.go
@@ -54,10 +54,14 @@
 }
 
 // disturb runs a fleet under random disturbances of these kinds. Three in ten orders are not answered, and carried out up to 12 s later.
-func disturb(seed uint64, kinds string) *simulation {
+func disturb(seed uint64, kinds string) *simulation { return disturbWith(seed, kinds, false) }
+
+// disturbWith does so with fencing tokens that are checked when an order arrives, or when it is carried out.
+func disturbWith(seed uint64, kinds string, checksEarly bool) *simulation {
 	random := rand.New(rand.NewPCG(seed, 54))
 	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
 	sim := newSimulation(4, 8, 3)
+	sim.checksEarly = checksEarly
 	sim.run(25 * time.Second)
 	for _, d := range sim.daemons {
 		sim.feed(d, NewCallsArrived())
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -156,6 +156,7 @@
 		expectedAt: now.Add(duration), effectDue: now.Add(duration + orderEffectSlack),
 	}
 	s.ordersInFlight++
+	s.noteSent(now, o)
 	s.emit(o)
 }
 
@@ -187,6 +188,9 @@
 
 func (s *State) applyReply(now time.Time, e OrderAnswered) {
 	s.ordersInFlight--
+	if e.reply != ReplyUnanswered {
+		s.noteAnswered(e.order)
+	}
 	last := s.lastOrders[e.order.id][e.order.verb]
 	if last == nil || last.order.fencingToken != e.order.fencingToken {
 		return
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -204,6 +204,7 @@
 	if isRestarted {
 		n.lastModel = ""
 		delete(s.lastOrders, n.id)
+		s.forgetAnswers(n.id)
 	}
 }
 
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -17,12 +18,15 @@
 	head ID
 }
 
-// departure says that an instance left a replica.
+// departure says that a start of an instance left a replica.
 type departure struct {
-	id      ID
-	replica replicaEpoch
+	id          ID
+	incarnation int64
+	replica     replicaEpoch
 }
 
+func (n *node) departureFrom(key replicaEpoch) departure { return departure{n.id, n.incarnation, key} }
+
 // isReleased reports whether an instance may join target. If not, it sends the next order that releases the instance.
 func (s *State) isReleased(now time.Time, n *node, target replicaEpoch) bool {
 	if n.membershipConfirmed.Before(s.leadingSince) {
@@ -60,19 +64,28 @@
 func (s *State) isClosed(now time.Time, n *node, a assignment) bool {
 	head := s.nodes[a.head]
 	if !head.isAlive() {
-		if s.departures[departure{n.id, a.replicaEpoch}] {
+		answeredAt, hasLeft := s.departures[n.departureFrom(a.replicaEpoch)]
+		isMember := n.membership.isIn(a.replica, a.epoch) // an order that came late may have made it one again
+		switch {
+		case hasLeft && !isMember && s.isAfterLate(answeredAt, n.id, VerbJoin, a.replicaEpoch):
 			return true
+		case s.isAfterLate(now, n.id, VerbJoin, a.replicaEpoch):
+			s.send(now, n, Order{verb: VerbLeave, replica: a.replica, epoch: a.epoch}, 0)
+		default:
+			s.logLate(n.id, VerbJoin, a.replicaEpoch)
 		}
-		s.send(now, n, Order{verb: VerbLeave, replica: a.replica, epoch: a.epoch}, 0)
 		return false
 	}
+	leftAt, hasLeft := s.departures[head.departureFrom(a.replicaEpoch)]
 	isServing := head.membership.replicaEpoch() == a.replicaEpoch && head.membership.isServing()
 	switch {
 	case isServing:
 		delete(s.nothingToClose, a.replicaEpoch)
-	case s.closed[a.replicaEpoch] || s.departures[departure{head.id, a.replicaEpoch}]:
+	case s.closed[a.replicaEpoch] != "":
+		return true
+	case hasLeft && (s.isAfterLate(leftAt, head.id, VerbOpen, a.replicaEpoch) || s.isAfterLate(leftAt, head.id, VerbJoin, a.replicaEpoch)):
 		return true
-	case s.nothingToClose[a.replicaEpoch]:
+	case s.nothingToClose[a.replicaEpoch] != "":
 		s.send(now, head, Order{verb: VerbLeave, replica: a.replica, epoch: a.epoch}, 0)
 		return false
 	}
@@ -109,7 +122,7 @@
 func (s *State) applyEffect(now time.Time, n *node, e OrderAnswered) {
 	key := replicaEpoch{e.order.replica, e.order.epoch}
 	if e.reply == ReplyUnfit && (e.order.verb == VerbCloseCut || e.order.verb == VerbCloseWait) {
-		s.nothingToClose[key] = true // it may be about to open, which a close does not prevent
+		s.nothingToClose[key] = n.id // it may be about to open, which a close does not prevent
 	}
 	if e.reply != ReplyBegun && e.reply != ReplyDone {
 		return
@@ -123,10 +136,10 @@
 	case VerbCloseCut, VerbCloseWait:
 		s.applyClose(now, n, e)
 	case VerbLeave:
-		if s.nothingToClose[key] && n.membership.isIn(key.replica, key.epoch) && n.membership.rank == 0 {
+		if s.nothingToClose[key] != "" && s.isAfterLate(now, n.id, VerbOpen, key) && n.membership.isIn(key.replica, key.epoch) && n.membership.rank == 0 {
 			s.setClosed(key, n, "left by its head")
 		}
-		s.departures[departure{n.id, key}] = true
+		s.departures[n.departureFrom(key)] = now
 		if n.membership.isIn(key.replica, key.epoch) {
 			n.setMembership(now, Membership{epoch: key.epoch})
 		}
@@ -139,7 +152,10 @@
 	phase := PhaseClosing
 	switch {
 	case e.reply == ReplyDone:
-		s.nothingToClose[key] = true
+		s.nothingToClose[key] = n.id
+		phase = PhaseReady
+	case e.order.verb == VerbCloseCut && !s.isAfterLate(now, n.id, VerbOpen, key):
+		s.nothingToClose[key] = n.id // it may open again unless it leaves
 		phase = PhaseReady
 	case e.order.verb == VerbCloseCut:
 		s.setClosed(key, n, "answered")
@@ -159,10 +175,10 @@
 
 // setClosed marks a replica as closed. The reason says what shows that its head serves no more.
 func (s *State) setClosed(key replicaEpoch, head *node, reason string) {
-	if !s.closed[key] && s.leading {
+	if s.closed[key] == "" && s.leading {
 		s.emit(LogEntry{message: "replica closed", replica: key.replica, epoch: key.epoch, members: []ID{head.id}, reason: reason})
 	}
-	s.closed[key] = true
+	s.closed[key] = head.id
 }
 
 // noteRemovals stores the replicas that a new record removes instances from.
@@ -194,6 +210,15 @@
 	clear(s.nothingToClose)
 }
 
+// forgetAnswers discards what an earlier start of an instance answered. The next one knows nothing of it, and orders that were sent before may
+// still be carried out by it.
+func (s *State) forgetAnswers(id ID) {
+	isOfInstance := func(_ replicaEpoch, head ID) bool { return head == id }
+	maps.DeleteFunc(s.closed, isOfInstance)
+	maps.DeleteFunc(s.nothingToClose, isOfInstance)
+	maps.DeleteFunc(s.departures, func(d departure, _ time.Time) bool { return d.id == id })
+}
+
 func (s *State) forgetClosed(epoch uint64) {
 	for key := range s.closingSince {
 		if key.epoch+closedRetention < epoch {
@@ -215,6 +240,12 @@
 			delete(s.departures, d)
 		}
 	}
+	for id, orders := range s.lateOrders {
+		orders = slices.DeleteFunc(orders, func(late *lateOrder) bool { return late.replica.epoch+closedRetention < epoch })
+		if s.lateOrders[id] = orders; len(orders) == 0 {
+			delete(s.lateOrders, id)
+		}
+	}
 	for id := range s.formerAssignments {
 		if s.nodes[id] == nil {
 			delete(s.formerAssignments, id)
--- a/pkg/replica/simulation_test.go
+++ b/pkg/replica/simulation_test.go
@@ -80,6 +80,7 @@
 	logEntries    []string
 	staleReplies  int
 	refusing      bool // engines that are down refuse connections, instead of being silent
+	checksEarly   bool // the fencing tokens of late orders are checked when they arrive, and not when they are carried out
 	closingTime   time.Duration
 }
 
@@ -339,7 +340,10 @@
 func (sim *simulation) order(d *simDaemon, o Order) {
 	if sim.dropOrder != nil {
 		if lost, after := sim.dropOrder(o); lost {
-			if after > 0 {
+			switch {
+			case after > 0 && sim.checksEarly:
+				sim.after(simMessageDelay, func() { sim.accept(o, after) })
+			case after > 0:
 				sim.after(after, func() { sim.execute(o) })
 			}
 			sim.after(500*time.Millisecond, func() { sim.feed(d, NewOrderAnswered(o, ReplyUnanswered)) })
@@ -360,16 +364,43 @@
 	})
 }
 
-// execute carries out an order as engines do.
+// accept checks the fencing token of an order that is carried out later by the same start of its engine.
+func (sim *simulation) accept(o Order, after time.Duration) {
+	e := sim.engine(o.ID())
+	if e == nil || e.down || e.unreachable || !e.fence(o) {
+		return
+	}
+	incarnation := e.incarnation
+	sim.after(after, func() {
+		if !e.down && e.incarnation == incarnation {
+			sim.carryOut(e, o)
+		}
+	})
+}
+
+// fence reports whether the token of an order is not lower than that of an earlier one.
+func (e *simEngine) fence(o Order) bool {
+	if o.FencingToken() < e.highestToken {
+		return false
+	}
+	e.highestToken = o.FencingToken()
+	return true
+}
+
+// execute checks and carries out an order as engines do.
 func (sim *simulation) execute(o Order) Reply {
 	e := sim.engine(o.ID())
 	if e == nil || e.down {
 		return ReplyUnanswered
 	}
-	if o.FencingToken() < e.highestToken {
+	if !e.fence(o) {
 		return ReplyStale
 	}
-	e.highestToken = o.FencingToken()
+	return sim.carryOut(e, o)
+}
+
+// carryOut carries out an order whose token was checked.
+func (sim *simulation) carryOut(e *simEngine, o Order) Reply {
 	switch o.Verb() {
 	case VerbJoin:
 		return sim.join(e, o)
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -43,14 +43,15 @@
 	lastOrders        map[ID]map[Verb]*sentOrder
 	loadStarts        []time.Time // of the loads within loadWindow
 	leadingSince      time.Time
-	formerAssignments map[ID][]assignment   // replicas that the record removed instances from and that may still serve
-	closed            map[replicaEpoch]bool // replicas that have ended their calls
-	departures        map[departure]bool
-	nothingToClose    map[replicaEpoch]bool // replicas whose head has nothing to close
-	lastReconcile     time.Time             // when orders and the plan were last considered
-	lastPlan          time.Time             // when the record was last compared with the state
-	hasEventSincePlan bool                  // other than a tick
-	isPlanUrgent      bool                  // an instance was lost or is leaving since then, or the demand is new
+	formerAssignments map[ID][]assignment     // replicas that the record removed instances from and that may still serve
+	closed            map[replicaEpoch]ID     // replicas that have ended their calls, and the heads that answered so
+	departures        map[departure]time.Time // when the leave was answered
+	nothingToClose    map[replicaEpoch]ID     // replicas whose head has nothing to close, and the heads that answered so
+	lateOrders        map[ID][]*lateOrder
+	lastReconcile     time.Time // when orders and the plan were last considered
+	lastPlan          time.Time // when the record was last compared with the state
+	hasEventSincePlan bool      // other than a tick
+	isPlanUrgent      bool      // an instance was lost or is leaving since then, or the demand is new
 	lastStaging       time.Time
 	lastCounts        time.Time
 	noTransfers       bool                       // replicas never give members to others; for comparison in tests
@@ -90,9 +91,10 @@
 		reportedIDs:       map[ID]bool{},
 		heads:             map[string][]Head{},
 		formerAssignments: map[ID][]assignment{},
-		closed:            map[replicaEpoch]bool{},
-		departures:        map[departure]bool{},
-		nothingToClose:    map[replicaEpoch]bool{},
+		closed:            map[replicaEpoch]ID{},
+		departures:        map[departure]time.Time{},
+		nothingToClose:    map[replicaEpoch]ID{},
+		lateOrders:        map[ID][]*lateOrder{},
 		lastOrders:        map[ID]map[Verb]*sentOrder{},
 		closingSince:      map[replicaEpoch]time.Time{},
 		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
@@ -225,6 +227,7 @@
 		*n = node{}
 		delete(s.deadIDs, i.id)
 		delete(s.lastOrders, i.id)
+		s.forgetAnswers(i.id)
 		s.isPlanUrgent = true
 	}
 	known := n.membership
