dispatch: Count crashes that come together once, and try suspects again

Cause: four replicas that crash at once counted as four crashes of the part that all requests share, nobody could object, and nothing tried a refused request again.

Crashes count one by one only beside a control, a request without the part or with other content that was answered lately; else those within a second count once. The daemon that counts lets one refused request through from time to time, and an answer ends the suspicion. It ends after five minutes without a crash. The refusal says to return after 5 s.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -41,13 +41,18 @@
 		s.refuse(now, c, DaemonStopping, stoppingRetryAfter)
 		return
 	}
-	if s.isPoison(now, c, crashesToRefuse) || s.hasRefusedPart(now, c) {
-		s.refuse(now, c, Poison, 0)
+	if s.isSuspect(now, c) && !s.beginTrial(now, c) {
+		s.refuse(now, c, Poison, suspicionRetryAfter)
 		return
 	}
 	s.place(now, up, c)
 }
 
+// isSuspect reports whether a call is refused since it, or a part of its prompt, probably crashes upstreams.
+func (s *State) isSuspect(now time.Time, c *call) bool {
+	return s.isPoison(now, c, crashesToRefuse) || s.hasRefusedPart(now, c)
+}
+
 // authorise looks up the organisation of a request by its key, and reports whether the request is admitted: its key is
 // known, its route is public, or the configuration has no organisations at all.
 func (s *State) authorise(c *call) bool {
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -101,6 +101,7 @@
 	deniedShards     []Shard     // whose owners denied a slot
 	hasSlot          bool        // the next send uses a granted slot
 	finalEffect      finalEffect // emitted when the cancelled attempt ends, nil if the call goes on
+	trial            *trial      // of a suspicion, nil for other calls
 	hasErrorResponse bool        // the driver keeps an error response of the last attempt that it can forward
 }
 
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -254,6 +254,7 @@
 // The decisions on requests, as written to logs and metrics.
 const (
 	NoteSent             = "sent"
+	NoteTrial            = "tried on suspicion"
 	NoteQueued           = "queued"
 	NoteRefused          = "refused"
 	NoteAnswered         = "answered"
--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -205,11 +205,18 @@
 type CrashReported struct {
 	contentHash uint64
 	upstream    string
+	from        string
 }
 
 // NewCrashReported returns the event of a crash of upstream while it ran the request with that content hash.
 func NewCrashReported(contentHash uint64, upstream string) CrashReported {
-	return CrashReported{contentHash, upstream}
+	return CrashReported{contentHash: contentHash, upstream: upstream}
+}
+
+// From returns the event with the daemon that reports it.
+func (e CrashReported) From(daemon string) CrashReported {
+	e.from = daemon
+	return e
 }
 
 // PoisonMarked reports that a request is suspected to crash upstreams.
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -70,6 +70,7 @@
 	delete(s.calls, c.id)
 	s.dequeue(c)
 	s.releaseRetry(c)
+	s.endTrial(now, c)
 	s.note(now, c, decision, upstream, reason, Inputs{waiting: len(s.queue)})
 }
 
@@ -123,7 +124,7 @@
 		s.emit(Suspect{a.target(), "no connection"})
 	case Interrupted:
 		s.emit(Suspect{a.target(), "connection reset"})
-		s.reportCrash(a.call, a.target())
+		s.reportCrash(now, a)
 	case Misdirected:
 		a.upstream.avoidUntil = now.Add(deadBackoff)
 		s.emit(Suspect{a.target(), "another upstream has the address"})
@@ -135,8 +136,8 @@
 // retry sends a call again if its route, its poison mark and the retry budget allow that, and ends it otherwise.
 func (s *State) retry(now time.Time, up Upstreams, c *call) {
 	switch {
-	case s.isPoison(now, c, crashesToStopRetry), s.hasRefusedPart(now, c):
-		s.giveUp(now, c, Poison, 0)
+	case (c.trial == nil || c.runs > 0) && (s.isPoison(now, c, crashesToStopRetry) || s.hasRefusedPart(now, c)):
+		s.giveUp(now, c, Poison, suspicionRetryAfter)
 	case !c.isContinuable():
 		s.giveUp(now, c, AttemptsExhausted, 0)
 	case c.runs > 0 && !c.route.Retryable(), c.runs >= c.route.MaxAttempts(), c.sends >= maxSends:
--- a/pkg/dispatch/parts.go
+++ b/pkg/dispatch/parts.go
@@ -28,9 +28,11 @@
 type partRecord struct {
 	crashes   map[string]time.Time // the last one by upstream
 	count     int
+	moments   moments
 	lastCrash time.Time
 	askedAt   time.Time // zero before the question
 	refused   bool
+	trial     trial // once it is refused
 }
 
 // partCrashes is what a daemon knows of the parts that may crash upstreams; the zero value knows nothing.
@@ -84,6 +86,7 @@
 	}
 	record.crashes[e.upstream], record.lastCrash = now, now
 	record.count++
+	record.moments.add(now)
 }
 
 // judgeParts asks about the parts with some crashes, and refuses those with enough that no daemon has answered.
@@ -98,8 +101,8 @@
 				record.askedAt = now
 				asked = append(asked, part)
 			}
-		case record.count >= partCrashesToRefuse && now.Sub(record.askedAt) >= partAnswerTime:
-			record.refused = true
+		case s.partEvidence(now, part, record) >= partCrashesToRefuse && now.Sub(record.askedAt) >= partAnswerTime:
+			record.refused, record.trial = true, newTrial(now, partTrialWaits)
 			s.emit(MarkPart{part, poisonTTL})
 		}
 	}
@@ -108,6 +111,15 @@
 	}
 }
 
+// partEvidence returns how many crashes count against a part: all if requests without it were answered meanwhile, else those that did not come
+// together.
+func (s *State) partEvidence(now time.Time, part string, record *partRecord) int {
+	if s.controls.hasWithoutPart(now, part) {
+		return record.count
+	}
+	return record.moments.count
+}
+
 // handlePartsAsked reports which of the parts were answered lately.
 func (s *State) handlePartsAsked(e PartsAsked) {
 	for _, part := range e.parts {
@@ -152,9 +164,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
 		c := s.calls[id]
 		switch {
-		case c.finalEffect != nil || !slices.Contains(c.parts, part):
+		case c.finalEffect != nil || c.trial != nil || !slices.Contains(c.parts, part):
 		case c.attempt == nil:
-			s.giveUp(now, c, Poison, 0)
+			s.giveUp(now, c, Poison, suspicionRetryAfter)
 		case !c.attempt.hasEvent:
 			s.halt(c, Fail{c.id, Poison, false})
 		}
@@ -163,10 +175,12 @@
 
 // hasRefusedPart reports whether requests with a part of the call's prompt are refused.
 func (s *State) hasRefusedPart(now time.Time, c *call) bool {
-	return len(s.parts.refused) > 0 && slices.ContainsFunc(c.parts, func(part string) bool {
-		expiry, isRefused := s.parts.refused[part]
-		return isRefused && now.Before(expiry)
-	})
+	return len(s.parts.refused) > 0 && slices.ContainsFunc(c.parts, func(part string) bool { return s.isPartRefused(now, part) })
+}
+
+func (s *State) isPartRefused(now time.Time, part string) bool {
+	expiry, isRefused := s.parts.refused[part]
+	return isRefused && now.Before(expiry)
 }
 
 // forgetParts removes what has expired.
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -21,7 +21,7 @@
 // place finds an upstream for a call; a new call for a model needs a slot at a replica first, and so does each send while an upstream
 // of the call names a limit.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
-	if s.needsSlot(now, up, c) && s.hasUntried(up, c) && s.throttledFor(now, up, c) == 0 {
+	if c.trial == nil && s.needsSlot(now, up, c) && s.hasUntried(up, c) && s.throttledFor(now, up, c) == 0 {
 		s.requestSlot(now, up, c)
 		return
 	}
@@ -98,6 +98,9 @@
 	if len(candidates) == 0 {
 		return candidate{}, untried, false
 	}
+	if c.trial != nil {
+		return leastLoaded(candidates), untried, true
+	}
 	return s.pick(candidates), untried, true
 }
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -31,8 +31,10 @@
 	demand                map[string]float64      // work per model since the last TakeDemand, in replica-seconds
 	answerRates           map[string]*rate        // first events per second, by queue key
 	crashes               map[uint64]*crashRecord // by content hash, for requests whose crashes this daemon counts
+	ownCrashes            map[uint64]time.Time    // the last one that this daemon reported, by content hash
 	poisonMarks           map[uint64]poisonMark   // by content hash
 	recentSuccesses       successes
+	controls              controls
 	parts                 partCrashes
 	pendingSlots          map[uint64]*pendingSlot
 	lastSlotRequest       uint64               // id of the last slot request
@@ -76,6 +78,7 @@
 		demand:                map[string]float64{},
 		answerRates:           map[string]*rate{},
 		crashes:               map[uint64]*crashRecord{},
+		ownCrashes:            map[uint64]time.Time{},
 		poisonMarks:           map[uint64]poisonMark{},
 		pendingSlots:          map[uint64]*pendingSlot{},
 		unresponsive:          map[string]time.Time{},
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -127,7 +127,7 @@
 		key := strconv.FormatUint(effect.ContentHash(), hexBase)
 		to, topic, values = s.ownerOf(key), crashTopic, []any{effect.ContentHash(), effect.Upstream()}
 		if to == s.members.self {
-			s.reduceDispatch(now, dispatch.NewCrashReported(effect.ContentHash(), effect.Upstream()))
+			s.reduceDispatch(now, dispatch.NewCrashReported(effect.ContentHash(), effect.Upstream()).From(s.members.self))
 			return true
 		}
 	case dispatch.MarkPoison:
@@ -200,7 +200,7 @@
 	case limitTopic:
 		return f.limit(from), f.err
 	default:
-		return f.crash(), f.err
+		return f.crash().From(from), f.err
 	}
 }
 
@@ -216,7 +216,11 @@
 // markPoison shares with all daemons how many crashes the copies of a request were part of.
 func (s *State) markPoison(now time.Time, effect dispatch.MarkPoison) {
 	contentHash, crashes := effect.ContentHash(), effect.Crashes()
-	s.emit(Problem{"request probably crashes upstreams", fmt.Sprintf("content=%x crashes=%d", contentHash, crashes)})
+	message := "request probably crashes upstreams"
+	if crashes == 0 {
+		message = "request does not crash upstreams"
+	}
+	s.emit(Problem{message, fmt.Sprintf("content=%x crashes=%d", contentHash, crashes)})
 	key := strconv.FormatUint(contentHash, hexBase)
 	s.reducePeer(now, peer.NewFactShared(crashTopic, key, []byte{byte(crashes)}, now.Add(effect.TTL())))
 	s.reduceDispatch(now, dispatch.NewPoisonMarked(contentHash, crashes, effect.TTL()))
