--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -48,7 +48,7 @@
 const stallWaits = 2
 
 // handleStreamStalled reports the upstream of a stalled stream as suspect, and retries the stream elsewhere if the
-// stall lasts, or at once if the path to the upstream is lost.
+// stall lasts and another upstream has room, or at once if the path to the upstream is lost.
 func (s *State) handleStreamStalled(now time.Time, up Upstreams, e StreamStalled) {
 	a := s.attempts[e.attempt]
 	if a == nil {
@@ -66,7 +66,15 @@
 		s.emit(Suspect{a.target(), "stream stalled"})
 	}
 	isPathLost := a.isDirect && !up.Way(now, a.target(), a.call.regions).IsDirect()
-	if silence >= maxStallTimeouts*a.stallTimeout || isPathLost && silence >= a.stallTimeout {
+	isLong := silence >= maxStallTimeouts*a.stallTimeout && s.hasRoomElsewhere(now, up, a.call)
+	if isLong || isPathLost && silence >= a.stallTimeout {
 		s.cancelToRetry(now, up, a)
 	}
 }
+
+// hasRoomElsewhere reports whether an upstream to which a call was not sent yet has room for it. A stream that left for a full one would wait
+// there, while the silent one may go on.
+func (s *State) hasRoomElsewhere(now time.Time, up Upstreams, c *call) bool {
+	_, _, isFound := s.choose(now, up, c)
+	return isFound
+}
