--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -166,6 +166,10 @@
 	s.settings.shutdown, s.settings.retryLimits, s.settings.coldBound = settings.shutdown, settings.retryLimits, settings.coldBound
 	s.reduceDispatch(now, dispatch.NewColdBoundChanged(settings.coldBound))
 	s.reduceDispatch(now, dispatch.NewRetryLimitsChanged(settings.retryLimits))
+	if !slices.Equal(settings.seeds, s.settings.seeds) {
+		s.settings.seeds = settings.seeds
+		s.reducePeer(now, peer.NewSeedsChanged(settings.seeds))
+	}
 }
 
 // randomStream selects the random sequence of this package, so that packages with the same seed draw independently.
--- a/pkg/peer/event.go
+++ b/pkg/peer/event.go
@@ -22,6 +22,12 @@
 // NewUpstreamsChanged returns the event that sets the complete list of upstreams to watch.
 func NewUpstreamsChanged(upstreams []Upstream) UpstreamsChanged { return UpstreamsChanged{upstreams} }
 
+// SeedsChanged replaces the addresses of the peers to contact first.
+type SeedsChanged struct{ seeds []string }
+
+// NewSeedsChanged returns the event that the peers at seeds (host:port) are contacted from now on, if they are not live.
+func NewSeedsChanged(seeds []string) SeedsChanged { return SeedsChanged{seeds} }
+
 // Received reports a message from a peer.
 type Received struct {
 	from    string
@@ -167,6 +173,8 @@
 
 func (RereadRequested) isEvent() {}
 
+func (SeedsChanged) isEvent() {}
+
 func (DocumentPushRequested) isEvent() {}
 
 func (Leaving) isEvent() {}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -129,6 +129,9 @@
 		s.shareFact(now, e)
 	case StoreWatchChanged:
 		s.setStoreWatch(now, e.enabled)
+	case SeedsChanged:
+		s.settings.seeds = e.seeds
+		s.contactPeers(now)
 	case RereadRequested:
 		s.rereadDocuments(now)
 	case DocumentPushRequested:
