gateway: Close three gaps in the limits of heads and bodies

The test fails before. - A body that was halted in the moment in which it had arrived left its connection with a deadline in the past, so that its caller counted as gone. - After a refusal, net/http goes on reading up to 256 KB of the body, without a deadline. It has half a second now.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -109,8 +109,19 @@
 	return max(timeout-taken, time.Millisecond)
 }
 
+// maxBodyDiscardTime limits how long the HTTP server reads the rest of a body that was refused, before it closes the connection.
+const maxBodyDiscardTime = 500 * time.Millisecond
+
+// leaveBody makes the connection end after the answer, without the rest of the body.
+func leaveBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	deadline := time.Now().Add(maxBodyDiscardTime)
+	_ = http.NewResponseController(w).SetReadDeadline(deadline) // fails only if the connection is closed
+}
+
 // refuseBody answers a request whose body was not read completely, or aborts its connection.
 func (d *Daemon) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	leaveBody(w)
 	id := d.adapter.Headers.ParseRequest(0, r, 0).Name()
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -121,12 +132,10 @@
 		u := d.memory.requests.Usage()
 		d.log.Info("caller", "body refused", "id", id, "length", r.ContentLength, "err", err.Error(),
 			"used", u.Used(), "limit", u.Limit(), "waiting", u.Waiting())
-		w.Header().Set("Connection", "close") // the rest of the body is not read
 		w.Header().Set("Retry-After", strconv.FormatFloat(resourceRetryAfter.Seconds(), 'f', 2, 64))
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	case errors.Is(err, errBodyHalted), errors.Is(err, os.ErrDeadlineExceeded):
 		d.log.Info("caller", "body not received in time", "id", id, "length", r.ContentLength, "err", err.Error())
-		w.Header().Set("Connection", "close")
 		http.Error(w, "the body was not received in time", http.StatusRequestTimeout)
 	default:
 		d.log.Info("caller", "cannot read body", "id", id, "err", err.Error())
@@ -138,7 +147,7 @@
 func (d *Daemon) refuseConnection(w http.ResponseWriter, r *http.Request) {
 	u := d.conns.callers.usage()
 	d.log.Info("caller", "request refused, too many connections", "id", d.adapter.Headers.ParseRequest(0, r, 0).Name(), "open", u.open, "limit", u.limit)
-	w.Header().Set("Connection", "close")
+	leaveBody(w)
 	w.Header().Set("Retry-After", strconv.FormatFloat(resourceRetryAfter.Seconds(), 'f', 2, 64))
 	http.Error(w, "too many connections", http.StatusServiceUnavailable)
 }
--- a/internal/gateway/bodyreads.go
+++ b/internal/gateway/bodyreads.go
@@ -33,6 +33,7 @@
 	readTime  time.Duration // of the reads that have returned
 	readSince time.Time     // of the present read, zero between two
 	halted    bool
+	ended     bool
 }
 
 // begin returns the reader of a body that must arrive within timeout.
@@ -55,9 +56,8 @@
 	b.mutex.Unlock()
 	read.mutex.Lock()
 	defer read.mutex.Unlock()
-	if !read.halted {
-		_ = read.control.SetReadDeadline(time.Time{}) // fails only if the connection is closed
-	}
+	read.ended = true
+	_ = read.control.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
 
 // haltSlow ends the reads that are too slow if others wait for memory.
@@ -89,7 +89,7 @@
 func (r *bodyRead) haltIfSlow(now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.readSince.IsZero() || r.halted {
+	if r.readSince.IsZero() || r.halted || r.ended {
 		return
 	}
 	pause := now.Sub(r.readSince)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -50,7 +50,7 @@
 	}
 	if reason, isRefused := d.refusalBeforeBody(r); isRefused {
 		d.log.Info("caller", "refused before its body", "id", d.adapter.Headers.ParseRequest(0, r, 0).Name(), "reason", reason)
-		w.Header().Set("Connection", "close") // the body is not read
+		leaveBody(w)
 		http.Error(w, reason.String(), refusalStatus(reason))
 		return
 	}
--- a/internal/gateway/headconn.go
+++ b/internal/gateway/headconn.go
@@ -41,14 +41,15 @@
 type headConn struct {
 	*net.TCPConn
 
-	mutex       sync.Mutex
-	isInHead    bool
-	isEmptyLine bool  // since the last line break of the head, which has a line before
-	needed      int64 // for the present head
-	held        memory.Holding
-	rest        []byte // what was read behind the end of the head
-	afterHead   int64  // bytes that the server has read behind it
-	last        []byte // of these
+	mutex          sync.Mutex
+	isInHead       bool
+	hasLine        bool  // the head has a line that is not empty; servers skip empty ones before it
+	hasLineContent bool  // the present line is not empty
+	needed         int64 // for the present head
+	held           memory.Holding
+	rest           []byte // what was read behind the end of the head
+	afterHead      int64  // bytes that the server has read behind it
+	last           []byte // of these
 }
 
 // lastChunk ends a body in chunks without a trailer.
@@ -101,17 +102,18 @@
 		line := data[read:]
 		end := bytes.IndexByte(line, '\n')
 		if end < 0 {
-			c.isEmptyLine = c.isEmptyLine && string(line) == "\r"
+			c.hasLineContent = c.hasLineContent || string(line) != "\r"
 			c.needed += headByteMemory * int64(len(line))
 			return len(data)
 		}
 		read += end + 1
 		c.needed += headLineMemory + headByteMemory*int64(end+1)
-		if c.isEmptyLine && (end == 0 || end == 1 && line[0] == '\r') {
+		isEmpty := !c.hasLineContent && (end == 0 || string(line[:end]) == "\r")
+		if isEmpty && c.hasLine {
 			c.isInHead = false
 			return read
 		}
-		c.isEmptyLine = true
+		c.hasLine, c.hasLineContent = c.hasLine || !isEmpty, false
 	}
 	return read
 }
@@ -145,7 +147,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.free()
-	c.isInHead, c.isEmptyLine, c.afterHead, c.last = true, false, 0, c.last[:0]
+	c.isInHead, c.hasLine, c.hasLineContent, c.afterHead, c.last = true, false, false, 0, c.last[:0]
 }
 
 // hasMoreThan reports whether the server may have read a part of the next request with a body of a length, or in chunks if that is negative.
--- a/internal/gateway/headconn_test.go
+++ b/internal/gateway/headconn_test.go
@@ -84,6 +84,24 @@
 		}
 	})
 
+	Convey("Empty lines before a head are not its end", t, func() {
+		s := newHeadServer(t, 1<<20)
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, head("POST", 0, "Content-Length: 2\r\n")+"ok")
+		So(err, ShouldBeNil)
+		reader := bufio.NewReader(c)
+		status, _ := readStatus(reader)
+		So(status, ShouldEqual, http.StatusOK)
+		_, err = io.WriteString(c, "\r\n\r\n"+head("GET", lines, ""))
+		So(err, ShouldBeNil)
+		status, _ = readStatus(reader)
+		So(status, ShouldEqual, http.StatusOK)
+		<-s.usedAt
+		So(<-s.usedAt, ShouldBeGreaterThan, lines*headLineMemory-freeHeadMemory)
+	})
+
 	Convey("A usual head takes none", t, func() {
 		s := newHeadServer(t, 1)
 		response, err := http.Post(s.URL, "text/plain", strings.NewReader("ok"))
--- a/internal/resident/crowds_test.go
+++ b/internal/resident/crowds_test.go
@@ -78,6 +78,9 @@
 	"odd lines":                                {begin: beginOf("/issue/x", oddLines()), end: endBeforeBody},
 	"short lines, whole requests":              {begin: beginOf("/issue/x", ""), repeat: "a:\r\n", end: endOfWhole},
 	"short lines after a pipelined request":    {begin: beginOf("/closed/x", "\r\n") + beginOf("/issue/x", ""), repeat: "ab:\r\n", end: endBeforeBody},
+	"short lines after a request and empty lines": {
+		begin: beginOf("/closed/x", "Content-Length: 2\r\n\r\nok") + "\r\n\r\n" + beginOf("/issue/x", ""), repeat: "ab:\r\n", end: endBeforeBody,
+	},
 	"short lines after a pipelined body": {
 		begin: beginOf("/closed/x", "Content-Length: 2\r\n\r\nok") + beginOf("/issue/x", ""), repeat: "ab:\r\n", end: endBeforeBody,
 	},
