dispatch: Let only streams of models return to an upstream

A replica whose engine was silent has room again; a plain service that refuses a continuation does so each time. The return is for models only now.

--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -83,11 +83,11 @@
 // openingSpread is the time over which the callers return that were refused because no replica was open.
 const openingSpread = 500 * time.Millisecond // in which a replica prefills the prompts of a few dozen calls
 
-// choose returns an upstream with room for a call, and the number of untried upstreams, with room or without. A stream that all others have
-// refused may return to one that it was on.
+// choose returns an upstream with room for a call, and the number of untried upstreams, with room or without. A stream of a replica that
+// all others have refused may return to one that it was on.
 func (s *State) choose(now time.Time, up Upstreams, c *call) (best candidate, untried int, isFound bool) {
 	var candidates []candidate
-	mayReturn := c.hasPartialAnswer && c.attempt == nil && !s.hasUntried(up, c)
+	mayReturn := c.hasPartialAnswer && c.attempt == nil && s.isModelCall(c) && !s.hasUntried(up, c)
 	for _, t := range s.targets(up, c) {
 		if slices.Contains(c.tried, t.name) && !mayReturn {
 			continue
