review: Keep more streams in cases 12 and 13

Eight streams on kept connections for each daemon, so that LOST doesn't depend on one daemon more or less.

--- a/review/kit3/routes.go
+++ b/review/kit3/routes.go
@@ -15,7 +15,7 @@
 	routeClients   = 80
 	playTime       = 100 * time.Second // since the start of the case
 	maxWaitInForce = 4 * time.Second
-	loadPerDaemon  = 4 // clients with a stream on a kept connection
+	loadPerDaemon  = 8 // clients with a stream on a kept connection
 )
 
 // routesOf is the configuration of a version with its added routes.
