--- a/review/kit3/two.go
+++ b/review/kit3/two.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,25 +21,24 @@
 // runTwo forms a group whose head leaves the first order to open unanswered, kills the leader, has the other member crash for good, and adds
 // a worker while the head is partitioned from the store. The head carries out the order to open meanwhile.
 func runTwo(o *deploymentOptions) int {
-	d, err := newDeployment(o, 2, 0, modelM0)
+	d, err := newDeployment(o, 6, 0, modelM0)
 	if err != nil {
 		return couldntRun
 	}
 	defer d.stopAll()
 	d.store.record = o.record
+	var holdsOpen atomic.Bool
+	holdsOpen.Store(o.trouble)
 	for _, e := range d.engines {
 		e.fleet = d.engine
-		e.holdsOpen = o.trouble
+		e.holdsOpen = &holdsOpen
 	}
-	if err := d.startDaemons(3); err != nil || !waitFor(30*time.Second, func() bool { return d.isReady() && d.heads() == 1 }) {
+	if err := d.startDaemons(3); err != nil || !waitFor(30*time.Second, func() bool { return d.isReady() && d.heads() == 3 }) {
 		o.record.log("the deployment did not become ready: %v", err)
 		return couldntRun
 	}
 	opened := time.Now()
-	head, member := d.engines[0], d.engines[1]
-	if member.isOpen() { // the leader chooses the head
-		head, member = member, head
-	}
+	head, member := d.groupOfLateOpen()
 	time.Sleep(untilKill)
 	leader := d.leader()
 	if leader == nil {
@@ -71,7 +71,7 @@
 		head.carryOutLate()
 		o.record.log("that is %.1f s after the group was open for the first time", time.Since(opened).Seconds())
 	}
-	added, err := startWorker(d.store, o.record, "i-engine-2", "engines", "d1")
+	added, err := startWorker(d.store, o.record, "i-engine-6", "engines", "d1")
 	if err != nil {
 		return couldntRun
 	}
@@ -94,6 +94,18 @@
 	return held
 }
 
+// groupOfLateOpen returns the head and the other member of the group whose open was left unanswered, or of any group if none was.
+func (d *deployment) groupOfLateOpen() (head, member *worker) {
+	for _, e := range d.engines {
+		e.mutex.Lock()
+		if e.phase == "open" && (head == nil || e.late != nil) {
+			head, member = e, d.engine(e.members[1])
+		}
+		e.mutex.Unlock()
+	}
+	return head, member
+}
+
 // setCutOff partitions the worker from the store, or ends that. Orders and requests reach it all the same.
 func (k *worker) setCutOff(isCutOff bool) {
 	k.mutex.Lock()
--- a/review/kit3/worker.go
+++ b/review/kit3/worker.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,9 +52,9 @@
 	quiet        bool // runs are not recorded
 	fleet        func(id string) *worker
 	lostAt       time.Time
-	isCutOff     bool   // from the store, so that the entry is not written
-	holdsOpen    bool   // the next open is accepted, not answered and carried out later
-	late         *order // that was accepted and not answered
+	isCutOff     bool         // from the store, so that the entry is not written
+	holdsOpen    *atomic.Bool // of all workers: the next open is accepted, not answered and carried out later
+	late         *order       // that was accepted and not answered
 	violations   []string
 }
 
@@ -165,10 +166,10 @@
 func (k *worker) accept(o order) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if o.Op != "open" || !k.holdsOpen || o.Token < k.token {
+	if o.Op != "open" || o.Token < k.token || k.holdsOpen == nil || !k.holdsOpen.CompareAndSwap(true, false) {
 		return false
 	}
-	k.holdsOpen, k.token, k.late = false, o.Token, &o
+	k.token, k.late = o.Token, &o
 	k.record.log("order worker=%s op=%s group=%s epoch=%d token=%d is accepted, gets no answer and is carried out later", k.id, o.Op, o.Group, o.Epoch, o.Token)
 	return true
 }
