dispatch, platform: Keep the numbers of requests and answers within their ranges

Cause: headers were converted to integers as they were, the time to read so many tokens overflowed time.Duration (route.Engine.Read) and became negative, and of candidates with negative costs pick kept none, so that IntN(0) panicked in the goroutine of the reducer. The conversion of a float beyond the range of an integer differs between x86-64 and arm64, so the result did too.

Change: pkg/quantity limits counts and times from outside so that their sums can't overflow; NaN is 0, on all processors. Used for the tokens, deadlines, loads, limits and Retry-After times in headers, for the times that follow from them, and for all settings and configurations that use the same functions. pick always keeps the candidate with the lowest cost. What goes on to upstreams stays as the caller sent it.

Failed before on: TestOddNumbersInRequests (panic in pick.go), TestLargeTokensOfCallers (9 panics), TestLargeNumbersOfPeers, TestLowestCostIsAlwaysACandidate, TestLargeNumbersOfConfiguration of pkg/dispatch. TestLargeNumbersOfUpstreams passed there and guards only.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -114,7 +115,7 @@
 		return
 	}
 	running := max(int(typicalUtilisation*float64(engine.Slots())), 1)
-	decodeTime := engine.StepTime(model, running) * time.Duration(c.outputTokens) / time.Duration(running)
+	decodeTime := quantity.Duration(float64(c.outputTokens)/float64(running), engine.StepTime(model, running))
 	s.demand[c.model] += (engine.Read(model, c.promptTokens) + decodeTime).Seconds()
 }
 
--- a/pkg/dispatch/budget.go
+++ b/pkg/dispatch/budget.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // bucketWidth is the resolution of the sliding window, a twentieth of the platform's window.
@@ -105,9 +107,11 @@
 	window time.Duration
 }
 
-// NewRetryLimits returns limits that allow ratio times the requests plus burst in each window.
+// NewRetryLimits returns limits that allow ratio times the requests plus burst in each window. Ratio and burst are from 0 to
+// quantity.MaxCount.
 func NewRetryLimits(ratio, burst float64, window time.Duration) RetryLimits {
-	return RetryLimits{ratio, burst, window}
+	limit := func(value float64) float64 { return min(max(value, 0), quantity.MaxCount) }
+	return RetryLimits{limit(ratio), limit(burst), window}
 }
 
 // Window returns the length of the window.
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -34,9 +35,10 @@
 	return Request{id: id, name: name, host: host, path: path, key: key}
 }
 
-// WithModel returns the request with its model, the tokens of its prompt and the maximum number of output tokens.
+// WithModel returns the request with its model, the tokens of its prompt and the maximum number of output tokens, each at most
+// quantity.MaxCount.
 func (r Request) WithModel(model string, prompt, output int) Request {
-	r.model, r.promptTokens, r.outputTokens = model, prompt, output
+	r.model, r.promptTokens, r.outputTokens = model, quantity.Limit(int64(prompt)), quantity.Limit(int64(output))
 	return r
 }
 
--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -69,6 +69,7 @@
 	parts        []string
 	sends        int
 	begunAtFirst bool // its first attempt delivered an event
+	isTooLarge   bool // for the memory of any replica
 	attempt      AttemptID
 	upstream     string
 }
@@ -258,6 +259,11 @@
 		cl.after(messageDelay, func() { cl.feed(c.daemon, NewFailed(a, NotSent)) })
 		return
 	}
+	if c.isTooLarge {
+		a := c.attempt
+		cl.after(messageDelay, func() { cl.feed(c.daemon, NewFailed(a, NotRun)) })
+		return
+	}
 	cl.waiting[c.upstream] = append(cl.waiting[c.upstream], c)
 	cl.admit(c.upstream)
 }
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // Slot requests coordinate daemons that send to the same replicas. Without them each daemon learns a replica's load
@@ -192,7 +194,7 @@
 		return c.arrived.Add(time.Duration(maxWaitGoalRatio * float64(c.route.LatencyGoal())))
 	}
 	engine, model := s.engineOf(c)
-	firstEvent := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, engine.Slots()))) +
+	firstEvent := quantity.Duration(firstEventIntervals, engine.EventInterval(model, engine.Slots())) +
 		firstEventPrefills*engine.Read(model, c.promptTokens)
 	return c.arrived.Add(c.route.LatencyGoal() - firstEvent)
 }
--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // Detection of slow replicas, such as one with a slow member: their calls are late even at low load. Each daemon
@@ -23,9 +25,17 @@
 	slowdown float64
 }
 
-// NewReplicaUsage returns a daemon's number of calls at a replica and the slowdown of its latest first event: the
-// observed time divided by the expected time, 0 for no first event since the last report.
-func NewReplicaUsage(calls int, slowdown float64) ReplicaUsage { return ReplicaUsage{calls, slowdown} }
+// maxSlowdown is higher than any slowdown that leaves a call time to be answered.
+const maxSlowdown = 1e6
+
+// NewReplicaUsage returns a daemon's number of calls at a replica, at most quantity.MaxCount, and the slowdown of its latest first event, at
+// most maxSlowdown: the observed time divided by the expected time, 0 for no first event since the last report.
+func NewReplicaUsage(calls int, slowdown float64) ReplicaUsage {
+	if !(slowdown > 0) { // also NaN
+		slowdown = 0
+	}
+	return ReplicaUsage{quantity.Limit(int64(calls)), min(slowdown, maxSlowdown)}
+}
 
 // Calls returns the number of calls at the replica.
 func (u ReplicaUsage) Calls() int { return u.calls }
@@ -40,7 +50,7 @@
 	}
 	engine, model := s.engineOf(a.call)
 	expected := roundTripTime + firstEventPrefills*engine.Read(model, a.call.promptTokens) +
-		time.Duration(firstEventIntervals*float64(engine.EventInterval(model, max(a.upstream.running, a.upstream.load.running))))
+		quantity.Duration(firstEventIntervals, engine.EventInterval(model, max(a.upstream.running, a.upstream.load.running)))
 	a.upstream.slowdown = float64(now.Sub(a.sentAt)) / float64(expected)
 	s.unreported[a.target()] = true
 }
@@ -90,7 +100,7 @@
 // call delays all of its calls. Some of the calls of a process of a plain service wait in its own queue.
 func (t *slotTable) capacity(now time.Time, r *replicaSlots, target Target, shard Shard) int {
 	if shard.service != "" {
-		return int(float64(target.slots) * maxCallsPerProcessSlot)
+		return quantity.Count(float64(target.slots) * maxCallsPerProcessSlot)
 	}
-	return max(int(float64(target.slots)/t.slowdown(now, r)), 1)
+	return max(quantity.Count(float64(target.slots)/t.slowdown(now, r)), 1)
 }
--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // An upstream in need names in its answers the rate of requests that it accepts from all daemons together, for as long as it names it.
@@ -19,8 +21,11 @@
 // minLimit is the lowest rate per second that a limit may have. The end of a lower one would not be heard for too long.
 const minLimit = 0.1
 
-// NewLimit returns a limit of requests per second from all daemons together.
-func NewLimit(perSecond float64) Limit { return Limit{true, max(perSecond, minLimit)} }
+// MaxLimit is more requests per second than one upstream can get.
+const MaxLimit = 1e9
+
+// NewLimit returns a limit of requests per second from all daemons together, at least minLimit and at most MaxLimit.
+func NewLimit(perSecond float64) Limit { return Limit{true, min(max(perSecond, minLimit), MaxLimit)} }
 
 // NoLimit returns the limit of an answer that names none.
 func NoLimit() Limit { return Limit{isKnown: true} }
@@ -208,7 +213,7 @@
 	if r.refilledAt.IsZero() {
 		return count
 	}
-	return min(count, int(r.tokens))
+	return min(count, quantity.Count(r.tokens))
 }
 
 func (r *replicaSlots) takeToken() {
@@ -271,7 +276,7 @@
 		wait = next(earliest)
 		granted[earliest]++
 	}
-	return time.Duration(wait * float64(time.Second))
+	return quantity.Seconds(wait)
 }
 
 // limitedRetryAfter returns when a call that is denied because of the limits of a shard may get a slot, 0 if they are not the reason. The
@@ -287,7 +292,7 @@
 		perSecond += s.allowedRate(now, t)
 	}
 	first := now.Add(s.limitedWait(now, up, request.shard, len(table.waiters)))
-	due := later(first, table.limitedReturn.Add(time.Duration(float64(time.Second)/perSecond)))
+	due := later(first, table.limitedReturn.Add(quantity.Seconds(1/perSecond)))
 	wait := due.Sub(now)
 	switch {
 	case table.isOverloaded(now):
--- a/pkg/dispatch/pick.go
+++ b/pkg/dispatch/pick.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/azurepond/azurepond/pkg/quantity"
+
 // Random selection among similar upstreams, since daemons learn of each other's load late.
 
 // tieTolerance is the relative difference in cost up to which candidates are equal, so that daemons with the same stale
@@ -14,9 +16,10 @@
 			best = c
 		}
 	}
+	tolerance := quantity.Duration(tieTolerance, best.cost)
 	var equal []candidate
 	for _, c := range candidates {
-		if float64(c.cost) <= float64(best.cost)*(1+tieTolerance) {
+		if c.cost == best.cost || c.cost-tolerance <= best.cost {
 			equal = append(equal, c)
 		}
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -135,7 +136,7 @@
 			return result, false
 		}
 	} else {
-		result.cost = time.Duration((1 + result.calls) * float64(processCallTime))
+		result.cost = quantity.Duration(1+result.calls, processCallTime)
 		if result.calls >= float64(t.slots)*maxCallsPerProcessSlot {
 			return result, false
 		}
@@ -157,9 +158,9 @@
 // calls, and the prefill time of the pending prompts and of its own.
 func (s *State) firstEventTime(c *call, at candidate) time.Duration {
 	engine, model := s.engineOf(c)
-	expected := engine.EventInterval(model, int(at.calls)+1) +
+	expected := engine.EventInterval(model, quantity.Count(at.calls)+1) +
 		engine.Read(model, at.upstream.pendingPrefillTokens+c.promptTokens)
-	return time.Duration(float64(expected) * at.target.slowdown)
+	return quantity.Duration(at.target.slowdown, expected)
 }
 
 func (s *State) send(now time.Time, up Upstreams, c *call, best candidate, upstreams int) {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // rate is a moving average of events per second.
@@ -15,8 +17,10 @@
 // rateWindow is the averaging time of a rate; calls take about two seconds.
 const rateWindow = 2 * time.Second
 
-func (r *rate) add(now time.Time) {
-	r.value = r.perSecond(now) + 1/rateWindow.Seconds()
+func (r *rate) add(now time.Time) { r.addCount(now, 1) }
+
+func (r *rate) addCount(now time.Time, count int) {
+	r.value = r.perSecond(now) + float64(count)/rateWindow.Seconds()
 	r.updatedAt = now
 }
 
@@ -84,14 +88,14 @@
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	return quantity.Seconds(float64(ahead) / perSecond)
 }
 
 // serviceRate returns the number of calls like c per second that the upstreams can serve for this daemon, which shares
 // them with the other daemons.
 func (s *State) serviceRate(up Upstreams, c *call) float64 {
 	engine, model := s.engineOf(c)
-	duration := engine.StepTime(model, engine.Slots())*time.Duration(c.outputTokens) + engine.Read(model, c.promptTokens)
+	duration := quantity.Duration(float64(c.outputTokens), engine.StepTime(model, engine.Slots())) + engine.Read(model, c.promptTokens)
 	if model.Name() == "" || duration <= 0 {
 		duration = processCallTime
 	}
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // The choice of the upstream of a shard that gets the next call.
@@ -49,15 +51,15 @@
 	replica := table.replica(t.name)
 	calls := replica.calls()
 	if request.shard.service != "" {
-		return time.Duration(1+calls) * processCallTime
+		return quantity.Duration(float64(1+calls), processCallTime)
 	}
 	service, _ := s.config.EngineService()
 	engine := service.Engine()
 	model, _ := engine.Model(request.shard.model)
 	replica.deductPrefilled(now, prefillRatio/max(engine.Read(model, 1).Seconds()*t.slowdown, 1e-9))
-	cost := time.Duration(firstEventIntervals*float64(engine.EventInterval(model, calls+1))) +
-		engine.Read(model, int(replica.pendingPrefillTokens)+request.promptTokens)
-	return time.Duration(float64(cost) * t.slowdown * table.slowdown(now, replica))
+	cost := quantity.Duration(firstEventIntervals, engine.EventInterval(model, calls+1)) +
+		engine.Read(model, quantity.Count(replica.pendingPrefillTokens)+request.promptTokens)
+	return quantity.Duration(t.slowdown*table.slowdown(now, replica), cost)
 }
 
 // grantSlot grants a slot at a replica and counts its call.
--- a/pkg/dispatch/slotrequest.go
+++ b/pkg/dispatch/slotrequest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -21,10 +22,10 @@
 	centre       string // of the daemon that requests the slot
 }
 
-// NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens; id is unique within
-// the requesting daemon.
+// NewSlotRequest returns a request for a slot of a shard for a call with that many prompt tokens, at most quantity.MaxCount; id is unique
+// within the requesting daemon.
 func NewSlotRequest(id uint64, shard Shard, prompt int) SlotRequest {
-	return SlotRequest{requestID: id, shard: shard, promptTokens: prompt}
+	return SlotRequest{requestID: id, shard: shard, promptTokens: quantity.Limit(int64(prompt))}
 }
 
 // WithUrgency returns the request with the priority of the call, the longest wait after which the call still meets its
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // The limits of a slot table.
@@ -153,7 +155,7 @@
 	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(t.ahead(now, w)) / perSecond * float64(time.Second))
+	return quantity.Seconds(float64(t.ahead(now, w)) / perSecond)
 }
 
 // ahead returns the number of calls that wait ahead of one that arrives.
@@ -267,8 +269,8 @@
 		}
 		table := s.slotTable(shard)
 		replica := table.replica(head)
-		for range replica.daemons[e.from].calls - e.usage[head].calls {
-			table.releaseRate.add(now)
+		if released := replica.daemons[e.from].calls - e.usage[head].calls; released > 0 {
+			table.releaseRate.addCount(now, released)
 		}
 		replica.setCalls(now, e.from, e.usage[head].calls)
 		replica.recordSlowdown(now, e.usage[head].slowdown)
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
+)
 
 // Detection of stalled streams: a replica that lost a member, or whose head lost the connection to one, still accepts
 // calls but delivers nothing for seconds.
@@ -18,7 +22,7 @@
 		return plainStallTimeout
 	}
 	engine, model := s.engineOf(c)
-	interval := time.Duration(float64(engine.EventInterval(model, engine.Slots())) * t.slowdown)
+	interval := quantity.Duration(t.slowdown, engine.EventInterval(model, engine.Slots()))
 	return max(minStallTimeout, stallIntervals*interval)
 }
 
@@ -29,15 +33,11 @@
 		return 0
 	}
 	engine, model := s.engineOf(c)
-	tokens := min(at.upstream.pendingPrefillTokens, maxPromptTokens) + min(c.promptTokens, maxPromptTokens)
-	return min(time.Duration(float64(engine.Read(model, tokens))*at.target.slowdown), maxPromptTime)
+	return min(quantity.Duration(at.target.slowdown, engine.Read(model, at.upstream.pendingPrefillTokens+c.promptTokens)), maxPromptTime)
 }
 
-// The limits of promptTime, since callers state the tokens of their prompts.
-const (
-	maxPromptTime   = 10 * time.Second
-	maxPromptTokens = 1 << 30 // whose time can be represented
-)
+// maxPromptTime limits promptTime, since callers state the tokens of their prompts.
+const maxPromptTime = 10 * time.Second
 
 // maxStallTimeouts is the number of stall timeouts after which a stream is retried elsewhere, even if all members of
 // its replica respond: one may be cut off from the others. Together the timeouts stay below the two seconds after which
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/relay"
 	"github.com/azurepond/azurepond/pkg/route"
 )
@@ -16,9 +17,11 @@
 	limit   Limit
 }
 
-// NewLoad returns the load of an upstream with its running and waiting requests and its slots.
+// NewLoad returns the load of an upstream with its running and waiting requests and its slots, each at most quantity.MaxCount.
 func NewLoad(running, waiting, slots int) Load {
-	return Load{known: true, running: running, waiting: waiting, slots: slots}
+	return Load{
+		known: true, running: quantity.Limit(int64(running)), waiting: quantity.Limit(int64(waiting)), slots: quantity.Limit(int64(slots)),
+	}
 }
 
 // WithLimit returns the load with what the upstream says about the rate of requests that it accepts.
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
+)
 
 // Service is a set of identical upstreams.
 type Service struct {
@@ -134,14 +138,13 @@
 	if e.prefillRate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / e.prefillRate * m.timeFactor * float64(time.Second))
+	return quantity.Seconds(float64(tokens) / e.prefillRate * m.timeFactor)
 }
 
 // EventInterval returns the time between two events of a call at a replica of model m that runs this number of calls,
 // without prefill.
 func (e Engine) EventInterval(m Model, running int) time.Duration {
-	step := e.baseStepTime + time.Duration(running)*e.stepTimePerCall
-	return time.Duration(float64(step) * float64(max(e.stepsPerEvent, 1)) * m.timeFactor)
+	return quantity.Duration(float64(max(e.stepsPerEvent, 1))*m.timeFactor, e.stepTime(running))
 }
 
 // Model is a model whose replicas span several instances.
@@ -190,5 +193,10 @@
 // StepTime returns the time of one decode step, which generates one token of each call, at a replica of model m that runs
 // this number of calls.
 func (e Engine) StepTime(m Model, running int) time.Duration {
-	return time.Duration(float64(e.baseStepTime+time.Duration(running)*e.stepTimePerCall) * m.timeFactor)
+	return quantity.Duration(m.timeFactor, e.stepTime(running))
+}
+
+// stepTime returns the time of one decode step for a model whose time factor is 1.
+func (e Engine) stepTime(running int) time.Duration {
+	return e.baseStepTime + quantity.Duration(float64(running), e.stepTimePerCall)
 }
