gateway, platform: Keep the numbers of peers, settings and configurations within their ranges

By reading each conversion of a number from outside:

- Messages of peers: counts, times and differences are limited when they are decoded.
A report of demand that is infinite, negative or NaN is refused.
A body may announce any length when max-body-bytes allows it: memory is allocated for 16 MB, and then for twice what has arrived.
Keep-Alive times of upstreams above 292 years became negative.
No event follows the one with the highest number.

No caller was seen to be hit by one of these.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -202,5 +203,5 @@
 		return true
 	}
 	now, err := strconv.ParseInt(id, 10, 64)
-	return err == nil && now == before+1
+	return err == nil && before < math.MaxInt64 && now == before+1
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -197,3 +197,11 @@
 		So(reader.Close(), ShouldBeNil)
 	})
 }
+
+func TestEventIDsAtTheEndOfTheirRange(t *testing.T) {
+	Convey("No event follows one with the highest number", t, func() {
+		So(isNextEventID("9223372036854775806", "9223372036854775807"), ShouldBeTrue)
+		So(isNextEventID("9223372036854775807", "-9223372036854775808"), ShouldBeFalse)
+		So(isNextEventID("9223372036854775807", "1"), ShouldBeFalse)
+	})
+}
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -76,10 +76,21 @@
 	return true
 }
 
+// maxUnreadBytes is how much memory is allocated before the body that needs it has arrived.
+const maxUnreadBytes = 16 << 20
+
+// grow allocates memory for a body of size bytes, and for one byte more, which shows whether the body has ended.
+func (b *Body) grow(size int64) {
+	capacity := min(size, max(maxUnreadBytes, 2*int64(len(b.bytes)))) + 1
+	b.bytes = append(make([]byte, 0, capacity), b.bytes...)
+}
+
 // fill reads until the body has size bytes or ends, and reports whether it has ended.
 func (b *Body) fill(r io.Reader, size int64) (isWhole bool, err error) {
-	b.bytes = append(make([]byte, 0, size+1), b.bytes...) // a further byte shows whether the body has ended
-	for len(b.bytes) < cap(b.bytes) {
+	for int64(len(b.bytes)) <= size {
+		if len(b.bytes) == cap(b.bytes) {
+			b.grow(size)
+		}
 		n, err := r.Read(b.bytes[len(b.bytes):cap(b.bytes)])
 		b.bytes = b.bytes[:len(b.bytes)+n]
 		if errors.Is(err, io.EOF) {
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"runtime"
 	"strings"
 	"testing"
@@ -205,3 +207,28 @@
 		So(p.Usage().Used(), ShouldEqual, limit)
 	})
 }
+
+// endlessLetters is a body that never ends.
+type endlessLetters struct{ read int64 }
+
+func (l *endlessLetters) Read(p []byte) (int, error) {
+	l.read += int64(len(p))
+	if l.read > 2*maxUnreadBytes {
+		return 0, errors.New("connection reset")
+	}
+	return len(p), nil
+}
+
+// This guards against memory that a body only announces: a limit may be as high as an integer.
+func TestBodyOfHugeLength(t *testing.T) {
+	for _, length := range []int64{-1, math.MaxInt64, 1 << 40} {
+		Convey(fmt.Sprintf("A body that announces a length of %d takes no more memory than twice what has arrived", length), t, func() {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := ReadBody(context.Background(), &Pool{}, &endlessLetters{}, length, math.MaxInt64)
+			runtime.ReadMemStats(&after)
+			So(err, ShouldNotBeNil)
+			So(after.TotalAlloc-before.TotalAlloc, ShouldBeLessThan, 8*maxUnreadBytes)
+		})
+	}
+}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // RawRequest is a request that is written to a connection without net/http.
@@ -224,7 +226,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(strings.Trim(value, `"`)); err == nil {
-			return time.Duration(seconds)*time.Second - idleTimeoutMargin
+			return quantity.Seconds(float64(seconds)) - idleTimeoutMargin
 		}
 	}
 	return defaultIdleTimeout
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/replica"
 )
 
@@ -80,9 +81,9 @@
 // receiveDemand stores the demand that a daemon reports to the leader, and acknowledges it with an empty report. At any other
 // daemon, a report is such an acknowledgement.
 func (s *State) receiveDemand(now time.Time, message peer.DeliverDirectMessage) {
-	var work map[string]float64
-	if err := msgpack.Unmarshal(message.Data(), &work); err != nil {
-		s.emit(Problem{"demand from " + message.From() + " not decoded", trace.Wrap(err).Error()})
+	work, err := decodeDemand(message.Data())
+	if err != nil {
+		s.emit(Problem{"demand from " + message.From() + " not decoded", err.Error()})
 		return
 	}
 	if s.members.leader != s.members.self {
@@ -93,6 +94,20 @@
 	s.reducePeer(now, peer.NewDirectMessageRequested(message.From(), demandTopic, demandAck))
 }
 
+// decodeDemand decodes a report of demand: the number of replicas that each model keeps busy, each from 0 to quantity.MaxCount.
+func decodeDemand(data []byte) (map[string]float64, error) {
+	var work map[string]float64
+	if err := msgpack.Unmarshal(data, &work); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for model, replicas := range work {
+		if !(replicas >= 0 && replicas <= quantity.MaxCount) { // also NaN
+			return nil, trace.BadParameter("model %q keeps %v replicas busy", model, replicas)
+		}
+	}
+	return work, nil
+}
+
 // demandAck is the message that acknowledges a report: the msgpack encoding of an empty map.
 var demandAck = []byte{0x80}
 
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -28,10 +28,7 @@
 }
 
 // isLimit reports whether a number from a peer is a rate; it may be NaN.
-func isLimit(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxLimit }
-
-// maxLimit is more requests per second than one upstream can get.
-const maxLimit = 1e9
+func isLimit(perSecond float64) bool { return perSecond >= 0 && perSecond <= dispatch.MaxLimit }
 
 // shareLimit tells all daemons the limit of an upstream.
 func (s *State) shareLimit(now time.Time, effect dispatch.ShareLimit) {
--- a/pkg/gateway/listmessage.go
+++ b/pkg/gateway/listmessage.go
@@ -178,7 +178,7 @@
 func (f *decodedFields) upstream() Upstream {
 	var u Upstream
 	f.record(upstreamFields, func() {
-		service, slots := f.text(), int(f.signed())
+		service, slots := f.text(), f.count()
 		id, address, centre, domain := replica.ID(f.text()), f.text(), f.text(), f.text()
 		i := replica.NewInstance(id, address, centre, domain, f.signed()).WithLeaving(f.flag())
 		loaded := f.text()
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/object"
+
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // Settings are the settings of one daemon.
@@ -60,7 +62,7 @@
 // WithResources returns the settings with the processor time (cores) and the link (bits per second) of the daemon's
 // instance. Daemons of a higher class are preferred as leaders, readers of the list and shard owners.
 func (s Settings) WithResources(cores, link float64) Settings {
-	s.capacity = uint8(max(math.Log2(max(cores/processorUnit*link/linkUnit, 1)), 0))
+	s.capacity = uint8(min(quantity.Count(math.Log2(cores/processorUnit*link/linkUnit)), math.MaxUint8))
 	return s
 }
 
--- a/pkg/gateway/slots.go
+++ b/pkg/gateway/slots.go
@@ -16,6 +16,7 @@
 
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/peer"
+	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/route"
 )
 
@@ -244,7 +245,7 @@
 
 func (f *decodedFields) slotRequestFields() dispatch.SlotRequest {
 	id, model, number := f.number(), f.text(), f.number()
-	prompt, priority, onTimeWait, maxWait := int(f.signed()), int(f.signed()), f.milliseconds(), f.milliseconds()
+	prompt, priority, onTimeWait, maxWait := f.count(), int(f.signed()), f.milliseconds(), f.milliseconds()
 	organisation, shard := f.text(), dispatch.NewShard(model, number)
 	if service := f.text(); service != "" {
 		shard = dispatch.NewServiceShard(service)
@@ -268,8 +269,16 @@
 // maxTried limits the upstreams that a slot request names, which are as many as a call is sent to.
 const maxTried = 16
 
+// count reads a number that is not negative and at most quantity.MaxCount.
+func (f *decodedFields) count() int { return quantity.Limit(f.signed()) }
+
+// difference reads a difference of two counts.
+func (f *decodedFields) difference() int {
+	return int(min(max(f.signed(), -quantity.MaxCount), quantity.MaxCount))
+}
+
 func (f *decodedFields) milliseconds() time.Duration {
-	return time.Duration(f.signed()) * time.Millisecond
+	return quantity.Milliseconds(float64(f.signed()))
 }
 
 func (f *decodedFields) slotReply() dispatch.SlotReply {
@@ -279,8 +288,8 @@
 		if status > uint64(dispatch.SlotNoReplicas) {
 			f.setError(trace.BadParameter("slot status %d", status))
 		}
-		calls := int(f.signed())
-		reply = dispatch.NewSlotReply(requestID, dispatch.SlotStatus(status), int(f.signed())).WithSlot(upstream, calls)
+		calls := f.count()
+		reply = dispatch.NewSlotReply(requestID, dispatch.SlotStatus(status), f.difference()).WithSlot(upstream, calls)
 		reply = reply.WithRetryAfter(f.milliseconds())
 	})
 	return reply
@@ -290,7 +299,7 @@
 	usage := map[string]dispatch.ReplicaUsage{}
 	for range f.length(maxUsageEntries) {
 		f.record(usageFields, func() {
-			head, calls := f.text(), int(f.signed())
+			head, calls := f.text(), f.count()
 			usage[head] = dispatch.NewReplicaUsage(calls, float64(f.signed())/slowdownScale)
 		})
 	}
