dispatch: Refuse calls that exceed the memory of every replica at once

What callers saw: a request with 1e12 tokens of answer waited one to two seconds for a 503, as each replica in turn refused it "as if it were full", and a replica of another model was dissolved meanwhile, since the request counted as demand for its own.

Cause: the configuration states the memory of a replica (kv-capacity), but it was not read, so that a daemon could not tell a full replica from one that never has room.

Change: a call whose prompt and longest answer exceed that memory is refused when it arrives, with the reason "too large". It isn't sent and counts as no demand. There is no Retry-After time, since it will not fit later either. Without a stated memory, replicas refuse such calls as before.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -37,6 +37,10 @@
 	c.deadline = s.deadlineOf(now, c)
 	s.calls[r.id] = c
 	s.budget(c.service).countRequest(now, s.settings.retries.window)
+	if s.isTooLarge(c) {
+		s.refuse(now, c, TooLarge, 0)
+		return
+	}
 	s.addDemand(c)
 	if s.refusesNew(now, c) {
 		s.refuse(now, c, DaemonStopping, stoppingRetryAfter)
@@ -92,6 +96,12 @@
 // DefaultTimeout applies to requests for which neither the caller nor the route sets a timeout.
 const DefaultTimeout = time.Minute
 
+// isTooLarge reports whether the prompt and the longest answer of a call exceed the memory of every replica, each of which would refuse it.
+func (s *State) isTooLarge(c *call) bool {
+	engine, model := s.engineOf(c)
+	return model.Name() != "" && !engine.Fits(c.promptTokens, c.outputTokens)
+}
+
 // isModelCall reports whether the service of a call runs models; other services are called plain.
 func (s *State) isModelCall(c *call) bool {
 	service, _ := s.config.Service(c.service)
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -387,12 +387,13 @@
 	DaemonStopping
 	Poison
 	UpstreamLimit
+	TooLarge
 )
 
 var reasonNames = [...]string{
 	"no configuration yet", "no route", "unknown key", "no upstream", "overload", "attempts exhausted",
 	"retry budget spent", "answer lost", "timeout", "caller gone", "stopping", "crashes upstreams",
-	"upstream limit",
+	"upstream limit", "too large",
 }
 
 // String returns the reason as written to logs and metrics.
--- a/pkg/dispatch/numbers_test.go
+++ b/pkg/dispatch/numbers_test.go
@@ -108,3 +108,34 @@
 		}
 	})
 }
+
+// This guards against calls that wait for seconds for a refusal, and whose demand takes the replicas of another model.
+func TestCallsLargerThanMemory(t *testing.T) {
+	Convey("Given replicas whose memory is known", t, func() {
+		cl := newCluster(2, 4, false)
+		engine := cl.config.Services()["engines"]
+		cl.config = cl.config.WithServices(engine.WithEngine(engine.Engine().WithMemory(replicaMemory)))
+		for daemon := range cl.daemons {
+			cl.feed(daemon, NewConfigured(cl.config))
+		}
+		Convey("calls that are larger are refused at once, are not sent, and count as no demand", func() {
+			for _, tokens := range append(largeTokens, replicaMemory+1) {
+				if tokens < 0 {
+					continue
+				}
+				for _, c := range []*clusterCall{cl.arriveWithTokens(0, tokens, 0), cl.arriveWithTokens(0, 1, tokens), cl.arriveWithTokens(0, replicaMemory, 1)} {
+					So(c.isRefused, ShouldBeTrue)
+					So(c.reason, ShouldEqual, TooLarge)
+					So(c.retryAfter, ShouldEqual, 0)
+					So(c.sends, ShouldEqual, 0)
+				}
+			}
+			So(cl.daemons[0].TakeDemand(), ShouldBeEmpty)
+		})
+		Convey("calls that just fit are sent", func() {
+			c := cl.arriveWithTokens(0, replicaMemory-80, 80)
+			cl.run(callTimeout)
+			So(c.firstEvent, ShouldBeGreaterThan, 0)
+		})
+	})
+}
--- a/pkg/route/service.go
+++ b/pkg/route/service.go
@@ -56,6 +56,7 @@
 // Engine is the models, speed and capacity of the engines of a service.
 type Engine struct {
 	slots              int
+	memoryTokens       int // 0 if unknown
 	stepsPerEvent      int
 	maxPrefillChunk    int
 	baseStepTime       time.Duration
@@ -107,6 +108,17 @@
 	return e
 }
 
+// WithMemory returns the engine with the number of tokens that fit into the memory of one replica, 0 if unknown.
+func (e Engine) WithMemory(tokens int) Engine {
+	e.memoryTokens = tokens
+	return e
+}
+
+// Fits reports whether a prompt and an answer of at most these numbers of tokens fit into the memory of one replica, as far as it is known.
+func (e Engine) Fits(prompt, output int) bool {
+	return e.memoryTokens == 0 || prompt <= e.memoryTokens && output <= e.memoryTokens-prompt
+}
+
 // Slots returns how many calls one replica runs concurrently.
 func (e Engine) Slots() int { return e.slots }
 
