gateway, dispatch: End one call instead of the process after a panic

Cause: the reducer's goroutine owns the state of all calls, and nothing contained a panic in it.

Weighed: to recover and go on with whatever the state is, which repeats a panic at each tick; to end the process, as before, where the next try of the same caller ends the next daemon. Built: the state notes for which call, or request of a peer for a slot, it works; after a panic the driver has it abandon that call, in whatever state it is, so that each panic costs one call and the next tick makes progress. A call without an attempt is refused as not run, any other one fails. A panic that is about no call still ends the process, as its state can't be trusted.

The event, the reason and the stack are logged ("daemon: panic"), and azurepond_calls_abandoned_total counts the calls.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -177,13 +179,32 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events:
-			for _, effect := range d.state.Reduce(time.Now(), e) {
+			for _, effect := range d.apply(time.Now(), e) {
 				d.execute(effect)
 			}
 		}
 	}
 }
 
+// apply applies an event and returns the effects to execute. If it panics, the call that the event is about is ended alone, and the panic goes
+// on if there is none.
+func (d *Daemon) apply(now time.Time, e gateway.Event) (effects []gateway.Effect) {
+	defer func() {
+		reason := recover()
+		if reason == nil {
+			return
+		}
+		var isFound bool
+		effects, isFound = d.state.Abandon(now)
+		d.log.Info("daemon", "panic", "event", fmt.Sprintf("%T", e), "reason", fmt.Sprint(reason), "callAbandoned", isFound, "stack", string(debug.Stack()))
+		if !isFound {
+			panic(reason)
+		}
+		d.recorder.CallAbandoned()
+	}()
+	return d.state.Reduce(now, e)
+}
+
 func (d *Daemon) tick(ctx context.Context) error {
 	ticker := time.NewTicker(gateway.TickInterval)
 	defer ticker.Stop()
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -124,7 +124,7 @@
 		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, RetrySharers, DroppedLogLines, Upstreams, Lag, Leading,
 		StoreRestores, StoreEra, OutdatedStoreAnswers, SilentStoreWatches, MarkedParts, LostPaths, RelayedRequests,
 		EvacuatedCentres,
-		AcceptFailures,
+		AcceptFailures, AbandonedCalls,
 		OpenConnections,
 		ConnectionLimits,
 		ClosedConnections,
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -115,6 +115,11 @@
 		nil,
 		"errors", "Temporary errors of accepting connections other than those of daemons, such as too many open files.",
 	}
+	AbandonedCalls = Metric{
+		"azurepond_calls_abandoned_total",
+		nil,
+		"requests", "Requests that were ended since their handling failed with an internal error (panic).",
+	}
 	OpenConnections = Metric{
 		"azurepond_connections",
 		[]string{"kind"},
@@ -224,6 +229,9 @@
 // AcceptFailed counts a temporary error of accepting a connection.
 func (r *Recorder) AcceptFailed() { r.increment(AcceptFailures.RegistryName()) }
 
+// CallAbandoned counts a request whose handling failed with an internal error.
+func (r *Recorder) CallAbandoned() { r.increment(AbandonedCalls.RegistryName()) }
+
 // SetTotal sets a counter that is kept elsewhere.
 func (r *Recorder) SetTotal(metric Metric, total int64, labels ...string) {
 	r.setCounter(metric.RegistryName(labels...), total)
--- a/pkg/dispatch/call.go
+++ b/pkg/dispatch/call.go
@@ -104,7 +104,8 @@
 	hasSlot          bool        // the next send uses a granted slot
 	finalEffect      finalEffect // emitted when the cancelled attempt ends, nil if the call goes on
 	trial            *trial      // of a suspicion, nil for other calls
-	hasErrorResponse bool        // the driver keeps an error response of the last attempt that it can forward
+	hasEnded         bool
+	hasErrorResponse bool // the driver keeps an error response of the last attempt that it can forward
 }
 
 // callerRetryRatio is the fraction of the route's timeout below which a caller's timeout indicates a retry. A caller
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -388,12 +388,13 @@
 	Poison
 	UpstreamLimit
 	TooLarge
+	Internal
 )
 
 var reasonNames = [...]string{
 	"no configuration yet", "no route", "unknown key", "no upstream", "overload", "attempts exhausted",
 	"retry budget spent", "answer lost", "timeout", "caller gone", "stopping", "crashes upstreams",
-	"upstream limit", "too large",
+	"upstream limit", "too large", "internal error",
 }
 
 // String returns the reason as written to logs and metrics.
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -12,7 +12,9 @@
 // bestReplica returns the replica of a shard with a free slot, within its limit, and the shortest expected time to the first event, in
 // the data centre of the daemon that requests the slot if one has room there. In the
 // shard of a plain service it returns the process with the fewest calls.
-func (s *State) bestReplica(now time.Time, up Upstreams, request SlotRequest) (Target, bool) {
+func (s *State) bestReplica(now time.Time, up Upstreams, w slotWaiter) (Target, bool) {
+	request := w.SlotRequest
+	s.serveRequest(w)
 	table := s.slotTable(request.shard)
 	var best Target
 	var least time.Duration
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -110,6 +110,7 @@
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
 	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
+	s.serveRequest(waiter)
 	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: len(table.waiters) + 1}
 	if !s.hasReplicas(up, request) {
 		reply.status = SlotNoReplicas
@@ -119,7 +120,7 @@
 	waiter.isExpected = table.takeReturn(now, request)
 	if !slices.ContainsFunc(table.waiters, slotWaiter.isUnrestricted) {
 		table.lastSlack = now
-		if target, isFree := s.bestReplica(now, up, request); isFree {
+		if target, isFree := s.bestReplica(now, up, waiter); isFree {
 			table.countOffer(now, waiter)
 			return s.grantSlot(now, up, table, waiter, target)
 		}
@@ -199,7 +200,7 @@
 	var skipped []slotWaiter // restricted to regions without a free slot
 	for len(table.waiters) > 0 {
 		best := slices.MinFunc(table.waiters, func(a, b slotWaiter) int { return table.compare(now, a, b) })
-		target, isFree := s.bestReplica(now, up, best.SlotRequest)
+		target, isFree := s.bestReplica(now, up, best)
 		if !isFree && best.isUnrestricted() {
 			break
 		}
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -125,6 +125,16 @@
 	return s.effects
 }
 
+// Abandon ends the call for which Reduce has panicked. It returns the effects that are left to carry out, and false if the panic was not about
+// a call; the state can't be used any more then.
+func (s *State) Abandon(now time.Time) ([]Effect, bool) {
+	effects, isFound := s.dispatch.Abandon(now)
+	for _, effect := range effects {
+		s.handleDispatchEffect(now, effect)
+	}
+	return s.effects, isFound
+}
+
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 // start initialises the state. The peer settings let every daemon watch the configuration in the store, so that one that is
