replica: Let the calls of a sound replica that is closed end

Cause: closeReplica ordered the head to abort its calls 1.5 s after the close had begun, for whatever reason it was closed. PROTOCOL.md gives a member that drains up to 10 s while the head has work. A member whose entry is removed while it serves on counted as a loss, so that the calls were aborted at once.

Change: the calls may end, and are aborted only when a member is lost, when the head is in another replica, or when all calls are past their deadlines (10 s, or the longest timeout of a route to the engines). If all routes to the engines may be repeated or resumed and no member leaves, they are aborted after 1.5 s as before, and go on elsewhere within the same answer. A member that is no longer listed and missed no probe counts as one that leaves for 10 s. "replica: replica closing" logs why calls are aborted or that the head waits.

Why it works: with 1.5 s, TestClosesWaitForCalls aborted calls at sound heads in all 21 combinations of seven reasons and three times of a new leader; now in none.

Tests changed: four waits for repairs and conversions contained the 1.5 s after which calls of 3 s were aborted; they wait for those calls now, with the same time beyond them (TestRepair, newLoadedSimulationOf). Busy simulations of TestReplicasOfLostRecord have calls of 1.5 s, so that their repairs take as long as before. Two tests of late orders and one of closes use the time after which calls are aborted now.

--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -211,7 +211,9 @@
 	s.listing.configureCold(config)
 	s.reduceDispatch(now, dispatch.NewConfigured(config))
 	engines, _ := config.EngineService()
-	s.reduceReplica(now, replica.NewConfigured(engines.Engine()))
+	s.reduceReplica(now, replica.NewConfigured(engines.Engine()).
+		WithLongestCall(config.LongestTimeout(engines.Name())).
+		WithResumable(config.IsRetryable(engines.Name())))
 	if s.engineService != engines.Name() {
 		s.engineService = engines.Name()
 		s.reduceReplica(now, replica.NewListed(s.instances(s.engineService)))
--- a/pkg/replica/event.go
+++ b/pkg/replica/event.go
@@ -13,10 +13,20 @@
 type Event interface{ isEvent() }
 
 // Configured carries what the engines can run.
-type Configured struct{ engine route.Engine }
+type Configured struct {
+	engine      route.Engine
+	longestCall time.Duration
+	isResumable bool
+}
 
 // NewConfigured returns the event that this description of the engines is in force.
-func NewConfigured(engine route.Engine) Configured { return Configured{engine} }
+func NewConfigured(engine route.Engine) Configured { return Configured{engine: engine} }
+
+// WithLongestCall returns the event with the longest time that a call may take, 0 if unknown.
+func (c Configured) WithLongestCall(d time.Duration) Configured {
+	c.longestCall = d
+	return c
+}
 
 // Listed carries the platform's list of instances, or changes of it.
 type Listed struct {
@@ -75,6 +85,12 @@
 // NewDeclaredDead returns the event that the leader found the instance called id dead.
 func NewDeclaredDead(id ID) DeclaredDead { return DeclaredDead{id} }
 
+// WithResumable returns the event with whether all calls may go on at another replica after they were aborted.
+func (c Configured) WithResumable(isResumable bool) Configured {
+	c.isResumable = isResumable
+	return c
+}
+
 // Reply is the answer of an instance to an order.
 type Reply uint8
 
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -42,7 +42,7 @@
 	s.leadingSince = now
 	s.lastOrders = map[ID]map[Verb]*sentOrder{}
 	s.forgetReleases()
-	clear(s.closingSince)
+	clear(s.closings)
 	if leading {
 		s.writer.Reset()
 	}
--- a/pkg/replica/orders.go
+++ b/pkg/replica/orders.go
@@ -13,10 +13,6 @@
 // maxOrdersInFlight limits the orders without a reply. More would take a small instance longer than their timeout to handle.
 const maxOrdersInFlight = 32
 
-// drainTimeout is how long the calls of a closing replica may run. A replica is closed when a member is leaving, and a
-// leaving instance runs for at least the drain time of the platform, 2 s.
-const drainTimeout = 1500 * time.Millisecond
-
 // orderCountBits is the number of low bits of a fencing token that count orders; the higher bits hold the epoch.
 const orderCountBits = 20
 
@@ -75,7 +71,7 @@
 	head := s.nodes[g.members[0].id]
 	if ready && head.membership.phase == PhaseReady {
 		delete(s.closed, replicaEpoch{g.name, g.epoch}) // the order may be carried out even if it is not answered
-		delete(s.closingSince, replicaEpoch{g.name, g.epoch})
+		delete(s.closings, replicaEpoch{g.name, g.epoch})
 		s.send(now, head, Order{verb: VerbOpen, replica: g.name, epoch: g.epoch}, s.engine.FormationTime())
 	}
 }
@@ -96,18 +92,6 @@
 	s.lastOrders[n.id][VerbJoin].isLoad = isLoad
 }
 
-// isComplete reports whether all members of the replica of head are alive.
-func (s *State) isComplete(head *node) bool {
-	model, isKnown := s.engine.Model(head.loadedModel)
-	count := 0
-	for _, n := range s.nodes {
-		if n.isAlive() && n.membership.isIn(head.membership.replica, head.membership.epoch) {
-			count++
-		}
-	}
-	return isKnown && count == model.ReplicaSize()
-}
-
 // closeUnrecorded closes serving replicas that the record does not hold with the same epoch.
 func (s *State) closeUnrecorded(now time.Time) {
 	recorded := map[string]uint64{}
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -102,21 +102,6 @@
 	return nil
 }
 
-// closeReplica orders the head to close a replica. It aborts the calls if the head reports another replica, a member is
-// missing, or drainTimeout has passed.
-func (s *State) closeReplica(now time.Time, head *node, target replicaEpoch) {
-	since, isKnown := s.closingSince[target]
-	if !isKnown {
-		since = now
-		s.closingSince[target] = now
-	}
-	verb := VerbCloseWait
-	if head.membership.replicaEpoch() != target || !s.isComplete(head) || now.Sub(since) >= drainTimeout {
-		verb = VerbCloseCut
-	}
-	s.send(now, head, Order{verb: verb, replica: target.replica, epoch: target.epoch}, 0)
-}
-
 // applyEffect applies what a reply says of the replica and of the membership of the instance. After ReplyBegun and ReplyDone
 // it sets the membership without waiting for a report.
 func (s *State) applyEffect(now time.Time, n *node, e OrderAnswered) {
@@ -220,9 +205,9 @@
 }
 
 func (s *State) forgetClosed(epoch uint64) {
-	for key := range s.closingSince {
+	for key := range s.closings {
 		if key.epoch+closedRetention < epoch {
-			delete(s.closingSince, key)
+			delete(s.closings, key)
 		}
 	}
 	for key := range s.closed {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -54,8 +54,11 @@
 	isPlanUrgent      bool      // an instance was lost or is leaving since then, or the demand is new
 	lastStaging       time.Time
 	lastCounts        time.Time
-	noTransfers       bool                       // replicas never give members to others; for comparison in tests
-	closingSince      map[replicaEpoch]time.Time // when the close of a replica began
+	noTransfers       bool // replicas never give members to others; for comparison in tests
+	closings          map[replicaEpoch]closing
+	unlisted          map[ID]unlistedMember
+	longestCall       time.Duration // of those that engines serve
+	isResumable       bool          // all calls may go on at another replica
 
 	effects []Effect
 }
@@ -96,7 +99,8 @@
 		nothingToClose:    map[replicaEpoch]ID{},
 		lateOrders:        map[ID][]*lateOrder{},
 		lastOrders:        map[ID]map[Verb]*sentOrder{},
-		closingSince:      map[replicaEpoch]time.Time{},
+		closings:          map[replicaEpoch]closing{},
+		unlisted:          map[ID]unlistedMember{},
 		writer: object.NewWriter(settings.key, settings.identity, settings.seed).
 			WithBackoff(object.NewBackoff(minStoreBackoff, maxStoreBackoff, settings.seed)),
 	}
@@ -113,7 +117,7 @@
 	isInstanceEvent := true
 	switch e := e.(type) {
 	case Configured:
-		s.engine = e.engine
+		s.engine, s.longestCall, s.isResumable = e.engine, e.longestCall, e.isResumable
 	case Listed:
 		s.applyList(now, e)
 	case Probed:
@@ -122,6 +126,7 @@
 		s.suspect(now, e.id)
 		isInstanceEvent = false
 	case DeclaredDead:
+		delete(s.unlisted, e.id)
 		if n := s.nodes[e.id]; n != nil {
 			if s.leading && !n.dead {
 				s.emit(LogEntry{message: "instance dead", replica: n.membership.replica, members: []ID{e.id}, reason: "found by two daemons"})
@@ -198,14 +203,14 @@
 		s.updateInstance(now, i)
 	}
 	for _, id := range e.gone {
-		s.removeInstance(id)
+		s.removeInstance(now, id)
 	}
 	if !e.complete {
 		return
 	}
 	for id := range s.nodes {
 		if !listed[id] {
-			s.removeInstance(id)
+			s.removeInstance(now, id)
 		}
 	}
 }
@@ -216,6 +221,7 @@
 	if n == nil {
 		n = &node{}
 		s.nodes[i.id] = n
+		delete(s.unlisted, i.id)
 		position, _ := slices.BinarySearch(s.sortedIDs, i.id)
 		s.sortedIDs = slices.Insert(s.sortedIDs, position, i.id)
 		s.lastArrival = now
@@ -239,10 +245,11 @@
 	n.rememberModel()
 }
 
-func (s *State) removeInstance(id ID) {
+func (s *State) removeInstance(now time.Time, id ID) {
 	if s.nodes[id] == nil {
 		return
 	}
+	s.noteUnlisted(now, s.nodes[id])
 	delete(s.nodes, id)
 	delete(s.deadIDs, id)
 	if position, isFound := slices.BinarySearch(s.sortedIDs, id); isFound {
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -85,6 +85,27 @@
 	return found, found.name != ""
 }
 
+// IsRetryable reports whether all requests to a service may be sent again after they have run.
+func (c Config) IsRetryable(service string) bool {
+	for _, r := range c.routes {
+		if r.leadsTo(service) && !r.Retryable() {
+			return false
+		}
+	}
+	return true
+}
+
+// LongestTimeout returns the longest timeout of the routes to a service, 0 if none of them has one.
+func (c Config) LongestTimeout(service string) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range c.routes {
+		if r.leadsTo(service) {
+			longest = max(longest, r.timeout)
+		}
+	}
+	return longest
+}
+
 // Organisation returns the organisation of an API key.
 func (c Config) Organisation(key string) (o Organisation, isKnown bool) {
 	o, isKnown = c.organisations[key]
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -129,6 +130,11 @@
 	return r.kind == Idempotent || r.kind == Stream && r.resumable
 }
 
+// leadsTo reports whether requests may go to a service.
+func (r Route) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.split, func(s WeightedService) bool { return s.service == service && s.weight > 0 })
+}
+
 // PickService returns the service for a request by weight, empty if none has one; random is uniform in [0, 1).
 func (r Route) PickService(random float64) string {
 	total := 0.0
