metrics: Unregister the metrics of routes that are gone

Cause: each route on which a request ran registers counters and four timers, of which each holds a sample of 8 KB; nothing unregistered them.

Change: the recorder knows which metrics belong to which route.

--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -174,24 +174,24 @@
 
 // RequestDecided counts a decision on a request.
 func (r *Recorder) RequestDecided(route, decision, reason string) {
-	r.increment(Requests.RegistryName(route, decision, reason))
+	r.increment(r.ofRoute(route, Requests.RegistryName(route, decision, reason)))
 }
 
 // RequestSent records the time from a request's arrival to its first send.
 func (r *Recorder) RequestSent(route string, after time.Duration) {
-	r.recordTime(FirstSendTime.RegistryName(route), after)
+	r.recordTime(r.ofRoute(route, FirstSendTime.RegistryName(route)), after)
 }
 
 // RequestAnswered records the time from a request's arrival to the end of its answer.
 func (r *Recorder) RequestAnswered(route string, after time.Duration) {
-	r.recordTime(RequestTime.RegistryName(route), after)
+	r.recordTime(r.ofRoute(route, RequestTime.RegistryName(route)), after)
 }
 
 // StreamAttemptEnded records the time from the send of an attempt to its first event, and the longest gap between two
 // events.
 func (r *Recorder) StreamAttemptEnded(route string, firstEvent, longestGap time.Duration) {
-	r.recordTime(FirstEventTime.RegistryName(route), firstEvent)
-	r.recordTime(LongestEventGap.RegistryName(route), longestGap)
+	r.recordTime(r.ofRoute(route, FirstEventTime.RegistryName(route)), firstEvent)
+	r.recordTime(r.ofRoute(route, LongestEventGap.RegistryName(route)), longestGap)
 }
 
 // OrderAnswered counts an order to an engine by its reply.
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -13,10 +13,13 @@
 const sampleSize = 1028
 
 // Recorder updates the metrics of a daemon in a registry.
-type Recorder struct{ registry metrics.Registry }
+type Recorder struct {
+	registry metrics.Registry
+	routes   routeMetrics
+}
 
 // NewRecorder returns a recorder of metrics in registry.
-func NewRecorder(registry metrics.Registry) *Recorder { return &Recorder{registry} }
+func NewRecorder(registry metrics.Registry) *Recorder { return &Recorder{registry: registry} }
 
 // CallEnded counts a call by its outcome and records its times: firstToken, 0 for none, and total are measured from its
 // arrival.
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -95,6 +95,15 @@
 	return true
 }
 
+// RouteNames returns the names of all routes.
+func (c Config) RouteNames() []string {
+	names := make([]string, 0, len(c.routes))
+	for _, r := range c.routes {
+		names = append(names, r.name)
+	}
+	return names
+}
+
 // LongestTimeout returns the longest timeout of the routes to a service, 0 if none of them has one.
 func (c Config) LongestTimeout(service string) time.Duration {
 	longest := time.Duration(0)
