--- a/pkg/dispatch/abandon.go
+++ b/pkg/dispatch/abandon.go
@@ -9,13 +9,13 @@
 // A broken invariant in the handling of one call must not end the calls of all others. The driver recovers from the panic and abandons that
 // call, whose state may be inconsistent. A panic that is about no call is about the state of the daemon, which only a new start repairs.
 
-// serve notes that a call is handled now.
-func (s *State) serve(c *call) { s.served = c }
+// workOn notes that a call is handled now.
+func (s *State) workOn(c *call) { s.currentCall = c }
 
-// serveRequest notes that a request for a slot is handled now. One of this daemon belongs to a call that is noted already.
-func (s *State) serveRequest(w slotWaiter) {
+// workOnRequest notes that a request for a slot is handled now. One of this daemon belongs to a call that is noted already.
+func (s *State) workOnRequest(w slotWaiter) {
 	if w.daemon != "" {
-		s.served, s.servedRequest = nil, slotRequestKey{w.daemon, w.requestID, w.shard}
+		s.currentCall, s.currentRequest = nil, slotRequestKey{w.daemon, w.requestID, w.shard}
 	}
 }
 
@@ -29,8 +29,8 @@
 // Abandon ends the call for which Reduce has panicked, or forgets the request of another daemon for a slot. It returns the effects that are left
 // to carry out, also those from before the panic, and whether there was such a call or request.
 func (s *State) Abandon(now time.Time) (effects []Effect, isFound bool) {
-	c, request := s.served, s.servedRequest
-	s.served, s.servedRequest = nil, slotRequestKey{}
+	c, request := s.currentCall, s.currentRequest
+	s.currentCall, s.currentRequest = nil, slotRequestKey{}
 	switch {
 	case c != nil && !c.hasEnded:
 		s.abandonCall(now, c)
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -19,7 +19,7 @@
 func (s *State) handleArrived(now time.Time, up Upstreams, r Request) {
 	r.arrived = now
 	c := &call{Request: r, lastEventID: r.resumeAfter}
-	s.serve(c)
+	s.workOn(c)
 	if !s.isConfigured {
 		s.refuse(now, c, Unconfigured, unconfiguredRetryAfter)
 		return
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -104,7 +104,7 @@
 // requestSlot requests a slot for a call: first a free one in up to maxShardTries shards, then one to wait for in the
 // least loaded shard. It places the call without a slot if there is no shard or its owner recently did not reply.
 func (s *State) requestSlot(now time.Time, up Upstreams, c *call) {
-	s.serve(c)
+	s.workOn(c)
 	shard, isFound := s.pickShard(now, up, c)
 	maxWait := time.Duration(0)
 	if len(c.deniedShards) >= maxShardTries || !isFound || shard.service != "" {
@@ -215,7 +215,7 @@
 		return
 	}
 	c := pending.call
-	s.serve(c)
+	s.workOn(c)
 	s.shardLoads[pending.shard] = shardLoad{e.excess, now}
 	if e.status == SlotQueued {
 		pending.isQueued, pending.deadline = true, s.waitDeadline(c).Add(slotRequestTimeout)
--- a/pkg/dispatch/outcome.go
+++ b/pkg/dispatch/outcome.go
@@ -14,7 +14,7 @@
 	if a == nil {
 		return
 	}
-	s.serve(a.call)
+	s.workOn(a.call)
 	a.isStarted = true
 	if a.isDirect {
 		a.upstream.answeredAt = now
@@ -30,7 +30,7 @@
 	if a == nil {
 		return
 	}
-	s.serve(a.call)
+	s.workOn(a.call)
 	a.hasEvent = true
 	s.clearPendingPrefill(a)
 	s.countAnswer(now, a.call)
@@ -59,7 +59,7 @@
 	if a == nil {
 		return
 	}
-	s.serve(a.call)
+	s.workOn(a.call)
 	s.removeAttempt(now, a)
 	s.measureAnswer(now, a)
 	s.recordSuccess(now, a.call)
@@ -85,7 +85,7 @@
 		return
 	}
 	c := a.call
-	s.serve(c)
+	s.workOn(c)
 	if !a.isStarted {
 		s.clearPendingPrefill(a)
 	}
@@ -158,7 +158,7 @@
 // answer is aborted. An error response of the last upstream is not forwarded then, since it would land in the middle of
 // the answer.
 func (s *State) giveUp(now time.Time, c *call, reason Reason, retryAfter time.Duration) {
-	s.serve(c)
+	s.workOn(c)
 	switch {
 	case c.hasErrorResponse && !c.hasPartialAnswer:
 		s.emit(ForwardFailure{c.id})
@@ -179,7 +179,7 @@
 
 // expire ends a call that is past its deadline.
 func (s *State) expire(now time.Time, c *call) {
-	s.serve(c)
+	s.workOn(c)
 	if c.attempt != nil {
 		s.halt(c, Fail{c.id, Timeout, true})
 		return
@@ -246,7 +246,7 @@
 // cancelToRetry cancels an attempt if its call may be retried elsewhere, and takes the retry from the budget.
 func (s *State) cancelToRetry(now time.Time, up Upstreams, a *attempt) {
 	c := a.call
-	s.serve(c)
+	s.workOn(c)
 	if s.mustStay(up, a) {
 		return
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -22,7 +22,7 @@
 // place finds an upstream for a call; a new call for a model needs a slot at a replica first, and so does each send while an upstream
 // of the call names a limit.
 func (s *State) place(now time.Time, up Upstreams, c *call) {
-	s.serve(c)
+	s.workOn(c)
 	if c.trial == nil && s.needsSlot(now, up, c) && s.hasUntried(up, c) && s.throttledFor(now, up, c) == 0 {
 		s.requestSlot(now, up, c)
 		return
@@ -32,7 +32,7 @@
 
 // placeWithoutSlot sends a call to the upstream with the lowest cost, queues it if none has room, or refuses it.
 func (s *State) placeWithoutSlot(now time.Time, up Upstreams, c *call) {
-	s.serve(c)
+	s.workOn(c)
 	best, upstreams, isFound := s.choose(now, up, c)
 	if isFound && (!isByUrgency(s.policy) || !s.hasQueued(c)) {
 		s.send(now, up, c, best, upstreams)
@@ -89,7 +89,7 @@
 // choose returns an upstream with room for a call, and the number of untried upstreams, with room or without. A stream of a replica that
 // all others have refused may return to one that it was on.
 func (s *State) choose(now time.Time, up Upstreams, c *call) (best candidate, untried int, isFound bool) {
-	s.serve(c)
+	s.workOn(c)
 	var candidates []candidate
 	mayReturn := c.hasPartialAnswer && c.attempt == nil && s.isModelCall(c) && !s.hasUntried(up, c)
 	for _, t := range s.targets(up, c) {
--- a/pkg/dispatch/slotchoice.go
+++ b/pkg/dispatch/slotchoice.go
@@ -14,7 +14,7 @@
 // shard of a plain service it returns the process with the fewest calls.
 func (s *State) bestReplica(now time.Time, up Upstreams, w slotWaiter) (Target, bool) {
 	request := w.SlotRequest
-	s.serveRequest(w)
+	s.workOnRequest(w)
 	table := s.slotTable(request.shard)
 	var best Target
 	var least time.Duration
--- a/pkg/dispatch/slottable.go
+++ b/pkg/dispatch/slottable.go
@@ -110,7 +110,7 @@
 func (s *State) decideSlotRequest(now time.Time, up Upstreams, daemon string, request SlotRequest) SlotReply {
 	table := s.slotTable(request.shard)
 	waiter := slotWaiter{SlotRequest: request, daemon: daemon, queuedAt: now}
-	s.serveRequest(waiter)
+	s.workOnRequest(waiter)
 	reply := SlotReply{requestID: request.requestID, status: SlotDenied, excess: len(table.waiters) + 1}
 	if !s.hasReplicas(up, request) {
 		reply.status = SlotNoReplicas
--- a/pkg/dispatch/stall.go
+++ b/pkg/dispatch/stall.go
@@ -54,7 +54,7 @@
 	if a == nil {
 		return
 	}
-	s.serve(a.call)
+	s.workOn(a.call)
 	if e.timeouts == 1 {
 		a.isSuspected = false // this stall is a new one
 	}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -50,8 +50,8 @@
 	tickedAt              time.Time                // the last tick
 	staleUntil            time.Time                // until when granted slots of cold upstreams may be from before a pause of this daemon
 	policy                policy
-	served                *call          // that the present event is handled for, nil for none
-	servedRequest         slotRequestKey // of another daemon, instead
+	currentCall           *call          // that the present event is handled for, nil for none
+	currentRequest        slotRequestKey // of another daemon, instead
 	effects               []Effect
 }
 
@@ -100,7 +100,7 @@
 
 // Reduce applies an event that happened at now and returns the effects to carry out, in order.
 func (s *State) Reduce(now time.Time, up Upstreams, e Event) []Effect {
-	s.effects, s.served, s.servedRequest = nil, nil, slotRequestKey{}
+	s.effects, s.currentCall, s.currentRequest = nil, nil, slotRequestKey{}
 	switch e := e.(type) {
 	case Configured:
 		s.config, s.isConfigured = e.config, true
@@ -176,7 +176,7 @@
 	case Ticked:
 		s.tick(now, up)
 	}
-	s.served, s.servedRequest = nil, slotRequestKey{}
+	s.currentCall, s.currentRequest = nil, slotRequestKey{}
 	return s.effects
 }
 
