soak: Count faults of the daemons that a call went through

The check knew only faults of the daemon that the caller had chosen. A planned stop of the relay, or a fault of a daemon that was not on the way, is still a failure (TestFaultsOfRelays, which fails on the former check).

The daemons log the relay of streams and answers that break off as well, and the test prints what they logged about each call that it judges.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -241,7 +241,8 @@
 // reportTruncated reports an attempt whose answer could not be read or forwarded completely.
 func (e *exchange) reportTruncated(ctx context.Context, send dispatch.Send, answer *transport.Exchange, err error) {
 	answer.Abort()
-	e.daemon.log.Info("upstream", "answer truncated", "id", e.name, "upstream", send.Upstream(), "err", err.Error())
+	e.daemon.log.Info("upstream", "answer truncated",
+		"id", e.name, "upstream", send.Upstream(), "relay", e.via.Name(), "err", err.Error())
 	e.reportBroken(ctx, send, err)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		answer.Abort()
 		e.daemon.log.Info("upstream", "stream failed",
-			"id", e.name, "upstream", send.Upstream(), "last", e.lastEventID, "err", err.Error())
+			"id", e.name, "upstream", send.Upstream(), "relay", e.via.Name(), "last", e.lastEventID, "err", err.Error())
 		e.reportBroken(ctx, send, err)
 		return false
 	}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -51,11 +51,13 @@
 	exited  chan struct{}
 }
 
+func (p *process) logFile() string { return p.settingsFile + ".log" }
+
 func (s *soak) start(p *process) {
 	if p.exited != nil {
 		p.stop() // two faults of one daemon overlapped, and both are undone
 	}
-	log, err := os.OpenFile(p.settingsFile+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		s.recordFailure(err.Error())
 		return
--- a/internal/soak/stopcheck_test.go
+++ b/internal/soak/stopcheck_test.go
@@ -3,9 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/azurepond/azurepond/platform/standin"
 )
 
 // The bounds of the platform's rules.
@@ -15,6 +21,9 @@
 	lateStart       = 3 * time.Second        // after SIGTERM; see isAllowed
 )
 
+// relayFault is the verdict on a request that went through a daemon with an unplanned fault.
+const relayFault = "fault of a relay"
+
 // isWhole reports whether the answer is complete and right.
 func (r record) isWhole() bool {
 	return r.status == http.StatusOK && r.err == nil && r.body == expectedBody(r.id, r.path)
@@ -28,8 +37,10 @@
 		counts[verdict]++
 		if isFailure {
 			s.recordFailure(verdict + ": " + s.describe(r, begin))
-		} else if verdict == "lost elsewhere" {
+			s.logRequest(r.id, begin)
+		} else if verdict == "lost elsewhere" || verdict == relayFault {
 			s.t.Log(verdict + ": " + s.describe(r, begin))
+			s.logRequest(r.id, begin)
 		}
 	}
 	s.t.Logf("grace %s, %d stops, %d faults, statuses %v, %v", s.setup.grace, len(s.stops), len(s.faults), s.statusCounts, counts)
@@ -56,7 +67,7 @@
 		return "engine broke off", false
 	case r.ended.Sub(r.sent) >= r.limit:
 		return "out of time", false
-	case s.isFaulty(r):
+	case s.isFaulty(r, r.daemon):
 		return "fault", false
 	}
 	stopped := s.stopOf(r)
@@ -66,13 +77,18 @@
 	case s.isAllowed(r, *stopped):
 		return "work in the last sixth", false
 	}
+	for _, relay := range s.relaysOf(r) {
+		if s.isFaulty(r, relay) {
+			return relayFault, false
+		}
+	}
 	return "lost", true
 }
 
-// isFaulty reports whether an unplanned fault of the daemon or of the store counts for a request.
-func (s *stopsSoak) isFaulty(r record) bool {
+// isFaulty reports whether an unplanned fault of a daemon or of the store counts for a request.
+func (s *stopsSoak) isFaulty(r record, daemon int) bool {
 	for _, f := range s.faults {
-		isOnWay := f.daemon == r.daemon || f.daemon == allDaemons
+		isOnWay := f.daemon == daemon || f.daemon == allDaemons
 		if isOnWay && !f.from.After(r.ended) && r.sent.Before(f.to.Add(stabilityWindow)) {
 			return true
 		}
@@ -80,6 +96,36 @@
 	return false
 }
 
+var relayField = regexp.MustCompile(` relay="d([0-9]+)"`)
+
+// relaysOf returns the daemons through which the daemon of a request sent it to an upstream, where that failed.
+func (s *stopsSoak) relaysOf(r record) (relays []int) {
+	for _, line := range s.logLines(s.daemons[r.daemon], r.id) {
+		if field := relayField.FindStringSubmatch(line); field != nil {
+			relay, err := strconv.Atoi(field[1])
+			if err != nil {
+				s.t.Error(err)
+			}
+			relays = append(relays, relay)
+		}
+	}
+	return relays
+}
+
+// logLines returns what a daemon logged about a request.
+func (s *stopsSoak) logLines(p *process, id string) (lines []string) {
+	text, err := os.ReadFile(p.logFile())
+	if err != nil {
+		s.t.Error(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, ` id="`+id+`" `) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // stopOf returns the last stop of the daemon around which a request ended, nil if there is none.
 func (s *stopsSoak) stopOf(r record) (last *stop) {
 	for _, p := range s.stops {
@@ -97,6 +143,15 @@
 		!s.fleet.Work(r.id).EndedAt().Before(r.ended)
 }
 
+// logRequest logs what the daemons logged about a request.
+func (s *stopsSoak) logRequest(id string, begin time.Time) {
+	for _, p := range s.daemons {
+		for _, line := range s.logLines(p, id) {
+			s.t.Logf("d%d, begin at %s: %s", p.index, begin.Format("15:04:05.000000"), line)
+		}
+	}
+}
+
 func (s *stopsSoak) describe(r record, begin time.Time) string {
 	text := fmt.Sprintf("%s %s at d%d, sent %.2f s, ended after %.2f of %.2f s with status %d (%.40q, error %v), ran %d times",
 		r.id, r.path, r.daemon, r.sent.Sub(begin).Seconds(), r.ended.Sub(r.sent).Seconds(), r.limit.Seconds(), r.status, r.body,
@@ -145,3 +200,38 @@
 		})
 	}
 }
+
+// TestFaultsOfRelays guards against counting a request as lost by a planned stop that was cut by an unplanned fault of the daemon through
+// which it went, and against excusing it for a fault of any other daemon or for a planned stop of the relay.
+func TestFaultsOfRelays(t *testing.T) {
+	begin := time.Now()
+	p := &process{index: 0, settingsFile: filepath.Join(t.TempDir(), "settings.yaml")}
+	log := `I1207 23:09:30.7 16321 logwriter.go:101] "upstream: no answer" id="c1-4" upstream="desk-0" relay="d20" failure="relay lost"` + "\n" +
+		`I1207 23:09:30.8 16321 logwriter.go:101] "upstream: no answer" id="c1-40" upstream="desk-0" relay="d21" failure="relay lost"` + "\n"
+	if err := os.WriteFile(p.logFile(), []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := record{id: "c1-4", sent: begin, ended: begin.Add(time.Second), isWritten: true, limit: time.Minute}
+	for _, c := range []struct {
+		name    string
+		faults  []fault
+		verdict string
+	}{
+		{"of the relay", []fault{{20, begin, begin.Add(time.Second)}}, relayFault},
+		{"of the relay, later", []fault{{20, begin.Add(2 * time.Second), begin.Add(3 * time.Second)}}, "lost"},
+		{"of another daemon", []fault{{21, begin, begin.Add(time.Second)}}, "lost"},
+		{"planned stop of the relay", nil, "lost"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &stopsSoak{
+				soak: &soak{
+					t: t, daemons: []*process{p}, fleet: &standin.Fleet{Store: &standin.Store{}}, setup: setup{grace: 4 * time.Second},
+				},
+				stops: []stop{{0, begin}, {20, begin}}, faults: c.faults,
+			}
+			if verdict, _ := s.verdict(r); verdict != c.verdict {
+				t.Errorf("verdict %q, want %q", verdict, c.verdict)
+			}
+		})
+	}
+}
