dispatch: Forget budgets, shard loads and backoffs that have ended

The retry budget of each service that was ever configured, the load of each shard that ever answered and the backoff of each daemon that ever did not were kept for good: 300 services, shards and daemons left 300 entries each, the budgets with a bucket each.

They are removed at the cleanup each minute once they say nothing: a budget without requests and reserved retries within its window allows what a new one does, and loads and backoffs are ignored when they are old. So no decision changes.

--- /dev/null
+++ b/internal/entries/doc.go
@@ -0,0 +1,2 @@
+// Package entries counts what a state holds, so that tests notice state that grows without end.
+package entries
--- a/pkg/dispatch/budget.go
+++ b/pkg/dispatch/budget.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/quantity"
@@ -100,6 +102,18 @@
 // release returns a reserved retry that is not sent.
 func (b *budget) release() { b.reserved-- }
 
+// isUnused reports whether a budget counts nothing, so that a new one allows the same.
+func (b *budget) isUnused(at time.Time, limits RetryLimits) bool {
+	return b.reserved == 0 && !slices.ContainsFunc(b.buckets, func(bucket budgetBucket) bool {
+		return at.Sub(bucket.start) <= limits.window+bucketWidth
+	})
+}
+
+// forgetBudgets removes the budgets of services that got no requests within the window.
+func (s *State) forgetBudgets(now time.Time) {
+	maps.DeleteFunc(s.budgets, func(_ string, b *budget) bool { return b.isUnused(now, s.settings.retries) })
+}
+
 // RetryLimits limit the retries of all daemons together.
 type RetryLimits struct {
 	ratio  float64
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -84,6 +84,12 @@
 	receivedAt time.Time
 }
 
+// forgetShards removes the loads of shards that are no longer valid, and the backoffs of daemons that have ended.
+func (s *State) forgetShards(now time.Time) {
+	maps.DeleteFunc(s.shardLoads, func(_ Shard, load shardLoad) bool { return now.Sub(load.receivedAt) > maxShardLoadAge })
+	maps.DeleteFunc(s.unresponsive, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
 // maxShardLoadAge is how long the load of a shard is valid; slots turn over within a few seconds.
 const maxShardLoadAge = time.Second
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -231,6 +231,8 @@
 		s.forgetCrashes(now)
 		s.forgetParts(now)
 		s.forgetLimits(now, up)
+		s.forgetBudgets(now)
+		s.forgetShards(now)
 	}
 }
 
