peer: Replace the longest silent member when there are too many

Members are remembered for an hour after their last heartbeat, and at most 2,048 of them. When that many had ended within the hour, a daemon that started was refused as a member by all others until some of them expired: it got no place in the address lists.

Now the member whose last heartbeat is the oldest makes room, unless all are live.

State.IsKnown is for pkg/gateway, which keeps the closed links of members.

--- a/pkg/peer/member.go
+++ b/pkg/peer/member.go
@@ -149,7 +149,22 @@
 		isLater := info.incarnation > old.incarnation && info.incarnation != old.supersedes
 		return isLater || isOwn || !s.isFresh(now, old.heartbeatAt)
 	}
-	return len(s.allMembers) < maxMembers
+	return len(s.allMembers) < maxMembers || s.removeLongestSilent(now)
+}
+
+// removeLongestSilent removes the member whose last heartbeat is the oldest, and reports whether there was one that is not live.
+func (s *State) removeLongestSilent(now time.Time) bool {
+	var oldest *member
+	for _, m := range s.allMembers {
+		if m != s.self && !s.isFresh(now, m.heartbeatAt) && (oldest == nil || m.heartbeatAt.Before(oldest.heartbeatAt)) {
+			oldest = m
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	s.removeMember(oldest)
+	return true
 }
 
 func (s *State) updateMember(now, at time.Time, m *member, info memberInfo) {
--- a/pkg/peer/view.go
+++ b/pkg/peer/view.go
@@ -64,6 +64,12 @@
 	return d, found
 }
 
+// IsKnown reports whether a daemon of that name is a member, live or not. Members are kept for an hour after their last heartbeat.
+func (s *State) IsKnown(name string) bool {
+	_, isKnown := s.members[s.handleByName[name]]
+	return isKnown
+}
+
 // MemberRevisions returns the revision of the configuration that each live member last reported, sorted by name.
 func (s *State) MemberRevisions(now time.Time) []MemberRevision {
 	if !s.configured {
