metrics: Unregister metrics of all labels whose values are gone

Only metrics of removed routes were unregistered. Those of removed services (azurepond_repeats_left), of data centres whose evacuation has ended, and in azurepond serve those of removed organisations, targets and models stayed for good; a target that a caller made up got a counter and, for the retries, another one of its own.

The recorder notes for each metric to which routes, services, data centres, organisations, targets and models it belongs, and unregisters it from the go-metrics registry when one of them has not been configured for a minute, or when 64 later ones of the label are gone. A target that is not configured is counted as the empty one.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -248,7 +248,7 @@
 			d.bodies.haltSlow(now, d.memory.requests.Usage().Waiting())
 			d.conns.closeIdle(now, d.config.Load().Limits().IdleTimeout())
 			d.recordResources(now)
-			d.recorder.UnregisterGoneRoutes(now)
+			d.recorder.UnregisterGone(now)
 			d.recorder.SetGauge(metrics.UpstreamConnections, d.pool.Opened())
 			d.recorder.SetGauge(metrics.DroppedLogLines, d.log.DroppedLines())
 		}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/azurepond/azurepond/internal/metrics"
@@ -152,7 +154,8 @@
 		return
 	}
 	d.config.Store(&config)
-	d.recorder.SetRoutes(config.RouteNames())
+	d.recorder.SetConfigured("route", config.RouteNames())
+	d.recorder.SetConfigured("service", slices.Collect(maps.Keys(config.Services())))
 	d.recorder.SetGauge(metrics.ConfigRevision, int64(config.Revision()))
 	d.log.Info("config", "applied", "revision", config.Revision(), "source", effect.Source(), "storeAge", effect.StoreAge())
 	// The reducer's goroutine must not block on its own queue. The reducer ignores an older configuration that arrives later.
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -1,6 +1,9 @@
 package metrics
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The metrics of internal/gateway.
 var (
@@ -163,7 +166,7 @@
 	EvacuatedCentres = Metric{
 		"azurepond_centre_evacuated",
 		[]string{"centre"},
-		"phase", "Whether a data centre is evacuated: 1 announced, 2 closed to requests, 0 again when the evacuation has ended.",
+		"phase", "Whether a data centre is evacuated: 1 announced, 2 closed to requests, 0 for a minute when the evacuation has ended.",
 	}
 	Leading = Metric{
 		"azurepond_leading",
@@ -174,37 +177,42 @@
 
 // RequestDecided counts a decision on a request.
 func (r *Recorder) RequestDecided(route, decision, reason string) {
-	r.increment(r.ofRoute(route, Requests.RegistryName(route, decision, reason)))
+	r.increment(r.name(Requests, route, decision, reason))
 }
 
 // RequestSent records the time from a request's arrival to its first send.
 func (r *Recorder) RequestSent(route string, after time.Duration) {
-	r.recordTime(r.ofRoute(route, FirstSendTime.RegistryName(route)), after)
+	r.recordTime(r.name(FirstSendTime, route), after)
 }
 
 // RequestAnswered records the time from a request's arrival to the end of its answer.
 func (r *Recorder) RequestAnswered(route string, after time.Duration) {
-	r.recordTime(r.ofRoute(route, RequestTime.RegistryName(route)), after)
+	r.recordTime(r.name(RequestTime, route), after)
 }
 
 // StreamAttemptEnded records the time from the send of an attempt to its first event, and the longest gap between two
 // events.
 func (r *Recorder) StreamAttemptEnded(route string, firstEvent, longestGap time.Duration) {
-	r.recordTime(r.ofRoute(route, FirstEventTime.RegistryName(route)), firstEvent)
-	r.recordTime(r.ofRoute(route, LongestEventGap.RegistryName(route)), longestGap)
+	r.recordTime(r.name(FirstEventTime, route), firstEvent)
+	r.recordTime(r.name(LongestEventGap, route), longestGap)
 }
 
 // OrderAnswered counts an order to an engine by its reply.
-func (r *Recorder) OrderAnswered(verb, reply string) { r.increment(Orders.RegistryName(verb, reply)) }
+func (r *Recorder) OrderAnswered(verb, reply string) { r.increment(r.name(Orders, verb, reply)) }
 
 // ProbeEnded counts a probe of an engine by its result.
-func (r *Recorder) ProbeEnded(result string) { r.increment(Probes.RegistryName(result)) }
+func (r *Recorder) ProbeEnded(result string) { r.increment(r.name(Probes, result)) }
 
 // RequestRelayed counts a request that went through another daemon by its outcome there.
-func (r *Recorder) RequestRelayed(outcome string) { r.increment(RelayedRequests.RegistryName(outcome)) }
+func (r *Recorder) RequestRelayed(outcome string) { r.increment(r.name(RelayedRequests, outcome)) }
 
-// CentreEvacuated sets the phase of the evacuation of a data centre.
+// CentreEvacuated sets the phase of the evacuation of a data centre, 0 if it has ended.
 func (r *Recorder) CentreEvacuated(centre string, phase int64) {
+	r.evacuated = slices.DeleteFunc(r.evacuated, func(other string) bool { return other == centre })
+	if phase > 0 {
+		r.evacuated = append(r.evacuated, centre)
+	}
+	r.SetConfigured("centre", r.evacuated)
 	r.SetGauge(EvacuatedCentres, phase, centre)
 }
 
@@ -214,28 +222,28 @@
 	if refused {
 		verdict = "refused"
 	}
-	r.increment(MarkedParts.RegistryName(verdict))
+	r.increment(r.name(MarkedParts, verdict))
 }
 
 // StoreWatchSilent counts a watch that the store did not answer in time and that was replaced over a new connection.
-func (r *Recorder) StoreWatchSilent() { r.increment(SilentStoreWatches.RegistryName()) }
+func (r *Recorder) StoreWatchSilent() { r.increment(r.name(SilentStoreWatches)) }
 
 // StoreRestored counts that the store was restored from an older snapshot, and sets its era.
 func (r *Recorder) StoreRestored(era uint64) {
-	r.increment(StoreRestores.RegistryName())
+	r.increment(r.name(StoreRestores))
 	r.SetGauge(StoreEra, int64(era))
 }
 
 // AcceptFailed counts a temporary error of accepting a connection.
-func (r *Recorder) AcceptFailed() { r.increment(AcceptFailures.RegistryName()) }
+func (r *Recorder) AcceptFailed() { r.increment(r.name(AcceptFailures)) }
 
 // CallAbandoned counts a request whose handling failed with an internal error.
-func (r *Recorder) CallAbandoned() { r.increment(AbandonedCalls.RegistryName()) }
+func (r *Recorder) CallAbandoned() { r.increment(r.name(AbandonedCalls)) }
 
 // SetTotal sets a counter that is kept elsewhere.
 func (r *Recorder) SetTotal(metric Metric, total int64, labels ...string) {
-	r.setCounter(metric.RegistryName(labels...), total)
+	r.setCounter(r.name(metric, labels...), total)
 }
 
 // StoreAnswerOutdated counts an answer of an earlier era.
-func (r *Recorder) StoreAnswerOutdated() { r.increment(OutdatedStoreAnswers.RegistryName()) }
+func (r *Recorder) StoreAnswerOutdated() { r.increment(r.name(OutdatedStoreAnswers)) }
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -14,45 +14,49 @@
 
 // Recorder updates the metrics of a daemon in a registry.
 type Recorder struct {
-	registry metrics.Registry
-	routes   routeMetrics
+	registry  metrics.Registry
+	owned     ownedMetrics
+	evacuated []string // data centres
 }
 
 // NewRecorder returns a recorder of metrics in registry.
 func NewRecorder(registry metrics.Registry) *Recorder { return &Recorder{registry: registry} }
 
 // CallEnded counts a call by its outcome and records its times: firstToken, 0 for none, and total are measured from its
-// arrival.
+// arrival. A target that is not configured is counted as the empty one.
 func (r *Recorder) CallEnded(call caller.Call, outcome caller.Outcome, firstToken, total time.Duration) {
 	name, reason := describeOutcome(outcome)
-	r.increment(Calls.RegistryName(call.Organisation(), call.Target(), name))
+	target := r.configuredOrNone("target", call.Target())
+	r.increment(r.name(Calls, call.Organisation(), target, name))
 	if reason != "" {
-		r.increment(FailedCalls.RegistryName(call.Organisation(), call.Target(), string(reason)))
+		r.increment(r.name(FailedCalls, call.Organisation(), target, string(reason)))
 		return
 	}
-	r.recordTime(AnswerTime.RegistryName(call.Target()), total)
+	r.recordTime(r.name(AnswerTime, target), total)
 	if firstToken > 0 {
-		r.recordTime(FirstTokenTime.RegistryName(call.Target()), firstToken)
+		r.recordTime(r.name(FirstTokenTime, target), firstToken)
 	}
 }
 
 // CallRetried counts an attempt of a call after its first one.
-func (r *Recorder) CallRetried(target string) { r.increment(Retries.RegistryName(target)) }
+func (r *Recorder) CallRetried(target string) {
+	r.increment(r.name(Retries, r.configuredOrNone("target", target)))
+}
 
 // StoreRequestEnded counts a request to the object API by its result.
 func (r *Recorder) StoreRequestEnded(request object.Request, result object.Result) {
-	r.increment(StoreRequests.RegistryName(typeName(request), typeName(result)))
+	r.increment(r.name(StoreRequests, typeName(request), typeName(result)))
 }
 
 // SetModelCosts sets the totals of model: the downtime of its replicas and the time of its stranded accelerators.
 func (r *Recorder) SetModelCosts(model string, downtime, stranded time.Duration) {
-	r.setCounter(Downtime.RegistryName(model), downtime.Milliseconds())
-	r.setCounter(StrandedTime.RegistryName(model), stranded.Milliseconds())
+	r.setCounter(r.name(Downtime, model), downtime.Milliseconds())
+	r.setCounter(r.name(StrandedTime, model), stranded.Milliseconds())
 }
 
 // SetGauge sets the current value of a metric; labels are the values of its labels in order.
 func (r *Recorder) SetGauge(metric Metric, value int64, labels ...string) {
-	metrics.GetOrRegisterGauge(metric.RegistryName(labels...), r.registry).Update(value)
+	metrics.GetOrRegisterGauge(r.name(metric, labels...), r.registry).Update(value)
 }
 
 func (r *Recorder) increment(name string) { metrics.GetOrRegisterCounter(name, r.registry).Inc(1) }
