gateway: Count daemons that were replaced no longer as sharers

A daemon that sees fewer than three quarters of the daemons that share the burst of the retry budget takes itself for cut off, and goes on counting the others, however long. What it compared with was every name that it had not forgotten yet: in a fleet of five in which one daemon crashes each 4 s and comes back under another name, four dead names were enough. From then on no name was forgotten again: 45 sharers of which 5 were live, each with a ninth of its share of the burst, for good.

It compares with the most daemons that were live at once since none was missing. Those that leave don't count. So a daemon that sees as many as ever forgets the names that are gone after 15 s, and one that sees few others still counts all of them, however long (the existing test is unchanged). At most 4,096 names are kept.

--- a/pkg/gateway/retrysharers.go
+++ b/pkg/gateway/retrysharers.go
@@ -11,14 +11,16 @@
 // The times and shares by which the sharers of the retry budget are counted.
 const (
 	retrySharerWindows = 1.5             // of the retry budget, after which a daemon that is gone no longer counts
-	minLiveSharers     = 0.75            // of the known sharers; with fewer, this daemon may be cut off from the others
+	minLiveSharers     = 0.75            // of those that were live at once; with fewer, this daemon may be cut off from the others
 	maxSeedWait        = 5 * time.Minute // after which the seeds that were never live are taken for gone
+	maxSharers         = 4096            // more than the largest fleet
 )
 
 // retrySharers are the daemons among which the burst of the retry budget is divided. A daemon that is cut off from the others keeps counting
 // them, as they may go on sending retries.
 type retrySharers struct {
 	byName     map[string]retrySharer
+	mostLive   int             // at once, without those that leave, since the last time that none was missing
 	metSeeds   map[string]bool // addresses of the peers to contact first that were live since the start
 	count      int             // as last reported
 	isReported bool
@@ -35,28 +37,36 @@
 	if r.byName == nil {
 		r.byName = map[string]retrySharer{}
 	}
+	known, isKnown := r.byName[name]
+	if !isKnown && len(r.byName) >= maxSharers {
+		return
+	}
+	if isKnown && isLeaving && !known.isLeaving {
+		r.mostLive--
+	}
 	r.byName[name] = retrySharer{now, isLeaving}
 }
 
 // forget removes the daemons that were not seen for ttl, unless this one may be cut off from them.
 func (r *retrySharers) forget(now time.Time, ttl time.Duration) {
-	live, known := 0, 0
+	live, missing := 0, 0
 	for _, sharer := range r.byName {
-		switch {
-		case sharer.isLeaving:
-		case sharer.seenAt.Equal(now):
+		if !sharer.isLeaving && sharer.seenAt.Equal(now) {
 			live++
-			known++
-		default:
-			known++
 		}
 	}
-	isCutOff := float64(live) < minLiveSharers*float64(known)
+	r.mostLive = max(r.mostLive, live)
+	isCutOff := float64(live) < minLiveSharers*float64(r.mostLive)
 	for name, sharer := range r.byName {
 		if now.Sub(sharer.seenAt) > ttl && (sharer.isLeaving || !isCutOff) {
 			delete(r.byName, name)
+		} else if !sharer.isLeaving && !sharer.seenAt.Equal(now) {
+			missing++
 		}
 	}
+	if missing == 0 {
+		r.mostLive = live
+	}
 }
 
 // meetSeed records that a daemon at an address is live that is one of the peers to contact first.
--- a/pkg/gateway/retrysharers_test.go
+++ b/pkg/gateway/retrysharers_test.go
@@ -43,6 +43,17 @@
 			So(len(r.byName), ShouldEqual, 15)
 		})
 
+		Convey("a daemon that sees as many others as ever forgets those that were replaced under other names", func() {
+			for life := range 100 {
+				now = now.Add(2 * time.Second)
+				for i := range 10 {
+					r.see(now, fmt.Sprint("life-", life, "-", i), false)
+				}
+				observe(now, 9, 0)
+			}
+			So(len(r.byName), ShouldBeLessThanOrEqualTo, 20+10*int(ttl/(2*time.Second)))
+		})
+
 		Convey("daemons that leave are forgotten, also if they are many", func() {
 			observe(now, 19, 15)
 			So(len(r.byName), ShouldEqual, 20)
