gateway: Forget what was kept of daemons that have ended

The closed link, the reported outage, the time of the last message and the report of demand of a daemon, and the last suspicion of an upstream that names a limit, were kept for good or until the next message under the same name.

--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -333,6 +334,18 @@
 	}
 }
 
+// forgetPeers removes what is known of daemons that pkg/peer no longer knows or that have been silent for long.
+func (s *State) forgetPeers(now time.Time) {
+	m := &s.members
+	isUnknown := func(name string, _ bool) bool { return !s.peer.IsKnown(name) }
+	maps.DeleteFunc(m.disconnected, isUnknown)
+	maps.DeleteFunc(m.unresponsive, isUnknown)
+	maps.DeleteFunc(m.receivedAt, func(_ string, at time.Time) bool { return now.Sub(at) > fleetMemberTTL })
+	maps.DeleteFunc(m.outages, func(_ string, reported outage) bool { return !now.Before(reported.until) })
+	maps.DeleteFunc(s.demandByDaemon, func(_ string, demand daemonDemand) bool { return now.Sub(demand.receivedAt) > demandTTL })
+	maps.DeleteFunc(s.suspectedAt, func(_ replica.ID, at time.Time) bool { return now.Sub(at) > limitedProbeInterval })
+}
+
 // measureFleet reports to pkg/dispatch how many daemons were live within fleetMemberTTL, or 0 while this daemon has just started and does
 // not know its peers.
 func (s *State) measureFleet(now time.Time, fresh []peer.Member) {
@@ -345,10 +358,10 @@
 		if now.Sub(seenAt) > fleetMemberTTL {
 			delete(m.seenAt, name)
 			delete(m.starts, name)
-			delete(m.receivedAt, name)
 			delete(m.unresponsive, name)
 		}
 	}
+	s.forgetPeers(now)
 	if len(m.seenAt) != m.fleetSize || !m.fleetSizeKnown {
 		m.fleetSize = len(m.seenAt)
 		m.fleetSizeKnown = now.Sub(m.startedAt) >= minLeaderUptime
