dispatch: Count no more demand for a call than its deadline allows

The demand of a call is the part of a replica that it can take until its deadline: reading its prompt, and then one of the slots. For calls whose longest answer is possible within their deadline nothing changes.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -43,7 +43,7 @@
 		s.refuse(now, c, TooLarge, 0)
 		return
 	}
-	s.addDemand(c)
+	s.addDemand(now, c)
 	if s.refusesNew(now, c) {
 		s.refuse(now, c, DaemonStopping, stoppingRetryAfter)
 		return
@@ -120,15 +120,18 @@
 // typicalUtilisation is the fraction of a replica's slots that the demand estimate assumes to be in use.
 const typicalUtilisation = 0.5
 
-// addDemand adds the estimated work of a call to the demand for its model.
-func (s *State) addDemand(c *call) {
+// addDemand adds the estimated work of a call to the demand for its model: that which can be done before its deadline, as the longest answer
+// that a caller allows may take far longer.
+func (s *State) addDemand(now time.Time, c *call) {
 	engine, model := s.engineOf(c)
 	if model.Name() == "" {
 		return
 	}
 	running := max(int(typicalUtilisation*float64(engine.Slots())), 1)
-	decodeTime := quantity.Duration(float64(c.outputTokens)/float64(running), engine.StepTime(model, running))
-	s.demand[c.model] += (engine.Read(model, c.promptTokens) + decodeTime).Seconds()
+	left := c.deadline.Sub(now)
+	readTime := min(engine.Read(model, c.promptTokens), left)
+	answerTime := min(quantity.Duration(float64(c.outputTokens), engine.StepTime(model, running)), left-readTime)
+	s.demand[c.model] += readTime.Seconds() + answerTime.Seconds()/float64(running)
 }
 
 // TakeDemand returns the work that arrived for each model, in replica-seconds, and resets it.
