replica: Count openings that an earlier leader may have sent

An order to open of the former leader was accepted, not answered and carried out 7 s later. The next leader had closed the head meanwhile and taken its answer for proof; the head opened again, and joined another replica while it served.

A leader knows only its own orders without an answer; those of the leader before are in nobody's memory.

PROTOCOL.md, "An order that receives no response may have been accepted, or may be carried out seconds later, after newer orders", can be read in two ways: its fencing token is checked when it is carried out, or only when it arrives. In the stricter way, for 13 s after a leader has read a record of another one, each replica up to that record's epoch may have an opening on its way. A close of its head is not enough then: the head has to leave, after which it can't open. That is one more order for each such replica. A record that this daemon wrote itself, which it reads again after a refusal, is not another leader's.

TestOpeningOfEarlierLeader is new.

--- a/pkg/replica/late.go
+++ b/pkg/replica/late.go
@@ -36,8 +36,16 @@
 	}
 }
 
+// isInherited reports whether an order of the leader before that concerns a replica may still be carried out at a time.
+func (s *State) isInherited(at time.Time, key replicaEpoch) bool {
+	return key.epoch <= s.inheritedEpoch && at.Sub(s.inheritedAt) < maxOrderDelay
+}
+
 // isAfterLate reports whether at is later than the time at which an unanswered order of a kind to an instance may still be carried out.
 func (s *State) isAfterLate(at time.Time, id ID, verb Verb, key replicaEpoch) bool {
+	if verb == VerbOpen && s.isInherited(at, key) {
+		return false
+	}
 	return !slices.ContainsFunc(s.lateOrders[id], func(late *lateOrder) bool {
 		return late.verb == verb && late.replica == key && at.Sub(late.sentAt) < maxOrderDelay
 	})
--- a/pkg/replica/late_test.go
+++ b/pkg/replica/late_test.go
@@ -83,9 +83,11 @@
 }
 
 func TestJoinsBesideLateOrders(t *testing.T) {
-	// The seeds are those on which an instance joined beside a serving head when a leave was proof for good.
+	// The seeds are those on which an instance joined beside a serving head when a leave was proof for good, or when a new leader did not count
+	// the orders of the one before.
 	for kinds, seeds := range map[string][]uint64{
 		"krrrfu": {236, 300, 376}, "krrrfud": {94, 287}, "u": {113, 254}, "uuurd": {153, 274},
+		disturbances: {5000696, 6000508, 7000152},
 	} {
 		Convey("Orders whose fencing tokens are checked when they arrive, and which are carried out later, let no instance join while its head serves: "+kinds, t, func() {
 			for seed := range *lateSeeds {
@@ -99,3 +101,32 @@
 		})
 	}
 }
+
+// takeOver makes the daemon a leader that reads a record of another one with the closing replica.
+func (r *closingReplica) takeOver() {
+	r.ownEpoch, r.inheritedEpoch, r.inheritedAt = 0, closingEpoch.epoch, r.now
+}
+
+// This guards against a head that an opening of an earlier leader, which nobody remembers, opens again after it was closed.
+func TestOpeningOfEarlierLeader(t *testing.T) {
+	Convey("After a change of the leader, a head has closed only when it has left", t, func() {
+		r := newClosingReplica()
+		r.takeOver()
+		So(r.release(VerbCloseWait, ReplyBegun), ShouldBeFalse)
+		r.now = r.now.Add(leavingTime)
+		So(r.release(VerbCloseCut, ReplyBegun), ShouldBeFalse)
+		r.report(0, PhaseReady)
+		So(r.release(VerbLeave, ReplyBegun), ShouldBeFalse)
+	})
+
+	Convey("A close is proof again once no order of the earlier leader can come", t, func() {
+		r := newClosingReplica()
+		r.takeOver()
+		r.now = r.now.Add(maxOrderDelay)
+		So(r.release(VerbCloseWait, ReplyBegun), ShouldBeFalse)
+		r.now = r.now.Add(leavingTime)
+		So(r.release(VerbCloseCut, ReplyBegun), ShouldBeFalse)
+		r.report(0, PhaseReady)
+		So(r.release(VerbLeave, ReplyBegun), ShouldBeTrue)
+	})
+}
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -100,18 +100,18 @@
 	outcome := s.writer.Apply(now, result)
 	switch outcome.(type) {
 	case object.ReadCompleted:
-		s.adoptRecord(false)
+		s.adoptRecord(now, false)
 	case object.Written:
-		s.adoptRecord(true)
+		s.adoptRecord(now, true)
 	case object.Superseded:
-		s.adoptRecord(false)
+		s.adoptRecord(now, false)
 	case object.Unreadable:
 		s.emit(LogEntry{message: "record unreadable", reason: "stored object is not a replica record and is not overwritten"})
 	}
 }
 
 // adoptRecord applies the record that the writer holds. own says whether this daemon wrote it.
-func (s *State) adoptRecord(own bool) {
+func (s *State) adoptRecord(now time.Time, own bool) {
 	r, err := decodeRecord(s.writer.Value())
 	if err != nil {
 		s.emit(LogEntry{message: "record unreadable", reason: err.Error()})
@@ -121,8 +121,11 @@
 	s.noteRemovals(r)
 	s.record, s.recordRead, s.takeoverRecorded, s.isRecordRecovered = r, true, own, false
 	s.noteEpoch(r.epoch)
-	if own {
-		s.orderCount = 0
+	switch {
+	case own:
+		s.orderCount, s.ownEpoch = 0, r.epoch
+	case r.epoch != s.ownEpoch: // another leader has sent orders, which it does after it has written a record only
+		s.inheritedEpoch, s.inheritedAt = r.epoch, now
 	}
 	s.lastReconcile = time.Time{}
 }
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -50,6 +50,9 @@
 	departures        map[departure]time.Time // when the leave was answered
 	nothingToClose    map[replicaEpoch]ID     // replicas whose head has nothing to close, and the heads that answered so
 	lateOrders        map[ID][]*lateOrder
+	ownEpoch          uint64    // of the last record that this daemon wrote
+	inheritedEpoch    uint64    // of the last record of another leader that this one took over
+	inheritedAt       time.Time // when it read that record
 	lastReconcile     time.Time // when orders and the plan were last considered
 	lastPlan          time.Time // when the record was last compared with the state
 	hasEventSincePlan bool      // other than a tick
