replica: Remember late joins across a restore of the store

A join that was not answered may be carried out for 13 s, but it was forgotten when the epoch of its replica was 256 behind. After a restore the epochs skip thousands, so that it was forgotten at once. The instance was ordered back into a replica of the restored record, with a lower epoch, and the late join took it out of it while the head served.

Late orders are forgotten by their age, and an instance joins no replica of a lower epoch than that of a join which may still come. One of a higher epoch is safe: the instance refuses the late join then.

--- a/pkg/replica/late.go
+++ b/pkg/replica/late.go
@@ -51,6 +51,17 @@
 	})
 }
 
+// lateJoin returns a replica of a higher epoch than target, so that an instance in target still accepts its join, that an unanswered join may
+// make the instance a member of.
+func (s *State) lateJoin(now time.Time, id ID, target replicaEpoch) (other replicaEpoch, isFound bool) {
+	for _, late := range s.lateOrders[id] {
+		if late.verb == VerbJoin && late.replica.epoch > target.epoch && now.Sub(late.sentAt) < maxOrderDelay {
+			return late.replica, true
+		}
+	}
+	return replicaEpoch{}, false
+}
+
 // logLate logs once for which orders a release waits.
 func (s *State) logLate(id ID, verb Verb, key replicaEpoch) {
 	for _, late := range s.lateOrders[id] {
--- a/pkg/replica/late_test.go
+++ b/pkg/replica/late_test.go
@@ -87,7 +87,7 @@
 	// the orders of the one before.
 	for kinds, seeds := range map[string][]uint64{
 		"krrrfu": {236, 300, 376}, "krrrfud": {94, 287}, "u": {113, 254}, "uuurd": {153, 274},
-		disturbances: {5000696, 6000508, 7000152},
+		disturbances: {5000696, 6000508, 7000152, 6000528},
 	} {
 		Convey("Orders whose fencing tokens are checked when they arrive, and which are carried out later, let no instance join while its head serves: "+kinds, t, func() {
 			for seed := range *lateSeeds {
@@ -130,3 +130,21 @@
 		So(r.release(VerbLeave, ReplyBegun), ShouldBeTrue)
 	})
 }
+
+// This guards against an instance that is taken out of its replica by an unanswered join of a record that was lost with a restore.
+func TestJoinOfLostRecord(t *testing.T) {
+	Convey("An instance joins no replica of a lower epoch while a join of a higher one may be carried out", t, func() {
+		r := newClosingReplica()
+		delete(r.formerAssignments, "other")
+		other := r.nodes["other"]
+		other.membership = Membership{}
+		r.effects = nil
+		r.send(r.now, other, Order{verb: VerbJoin, replica: "r99-1", epoch: 99}, 0)
+		r.Reduce(r.now, NewOrderAnswered(r.effects[0].(Order), ReplyUnanswered))
+		sent := r.now
+		r.forgetClosed(r.now, 99+2*closedRetention)
+		So(r.isReleased(r.now, other, nextEpoch), ShouldBeFalse)
+		So(r.isReleased(r.now, other, replicaEpoch{"r100-1", 100}), ShouldBeTrue)
+		So(r.isReleased(sent.Add(maxOrderDelay), other, nextEpoch), ShouldBeTrue)
+	})
+}
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -118,7 +118,7 @@
 		return
 	}
 	s.logChanges(r)
-	s.noteRemovals(r)
+	s.noteRemovals(now, r)
 	s.record, s.recordRead, s.takeoverRecorded, s.isRecordRecovered = r, true, own, false
 	s.noteEpoch(r.epoch)
 	switch {
--- a/pkg/replica/release.go
+++ b/pkg/replica/release.go
@@ -38,6 +38,10 @@
 			return false
 		}
 	}
+	if other, isFound := s.lateJoin(now, n.id, target); isFound {
+		s.logLate(n.id, VerbJoin, other)
+		return false
+	}
 	delete(s.formerAssignments, n.id)
 	return true
 }
@@ -167,7 +171,7 @@
 }
 
 // noteRemovals stores the replicas that a new record removes instances from.
-func (s *State) noteRemovals(next record) {
+func (s *State) noteRemovals(now time.Time, next record) {
 	kept := map[replicaEpoch]bool{}
 	for _, g := range next.groups {
 		kept[replicaEpoch{g.name, g.epoch}] = true
@@ -181,7 +185,7 @@
 			s.formerAssignments[m.id] = append(s.formerAssignments[m.id], assignment{key, g.members[0].id})
 		}
 	}
-	s.forgetClosed(next.epoch)
+	s.forgetClosed(now, next.epoch)
 }
 
 // closedRetention is for how many epochs a closed replica is remembered. A release takes two or three.
@@ -204,7 +208,7 @@
 	maps.DeleteFunc(s.departures, func(d departure, _ time.Time) bool { return d.id == id })
 }
 
-func (s *State) forgetClosed(epoch uint64) {
+func (s *State) forgetClosed(now time.Time, epoch uint64) {
 	for key := range s.closings {
 		if key.epoch+closedRetention < epoch {
 			delete(s.closings, key)
@@ -226,7 +230,7 @@
 		}
 	}
 	for id, orders := range s.lateOrders {
-		orders = slices.DeleteFunc(orders, func(late *lateOrder) bool { return late.replica.epoch+closedRetention < epoch })
+		orders = slices.DeleteFunc(orders, func(late *lateOrder) bool { return now.Sub(late.sentAt) >= maxOrderDelay })
 		if s.lateOrders[id] = orders; len(orders) == 0 {
 			delete(s.lateOrders, id)
 		}
