replica: Drop restored replicas that a member has left

After a restore, a leader ordered the members of a recorded replica to join it again under its old epoch, also one that had left it.

Such a replica is dropped from the record, as are those that no member reports. Its head is closed as always, and the replica that is formed instead has a higher epoch than any lost one, so that the late join is refused.

--- a/pkg/replica/late_test.go
+++ b/pkg/replica/late_test.go
@@ -87,7 +87,7 @@
 	// the orders of the one before.
 	for kinds, seeds := range map[string][]uint64{
 		"krrrfu": {236, 300, 376}, "krrrfud": {94, 287}, "u": {113, 254}, "uuurd": {153, 274},
-		disturbances: {5000696, 6000508, 7000152, 6000528, 7000482, 9000366},
+		disturbances: {5000696, 6000508, 7000152, 6000528, 7000482, 9000366, 9000502},
 	} {
 		Convey("Orders whose fencing tokens are checked when they arrive, and which are carried out later, let no instance join while its head serves: "+kinds, t, func() {
 			for seed := range *lateSeeds {
--- a/pkg/replica/recovery.go
+++ b/pkg/replica/recovery.go
@@ -184,15 +184,16 @@
 	return s.engine.Model(members[0].loadedModel)
 }
 
-// isReportedByMembers reports whether a member of a recorded replica reports it, and none a replica of a later epoch.
+// isReportedByMembers reports whether a member of a recorded replica reports it, and none another replica of a later epoch or none at all. A
+// member of none may have left by an order of a lost record, and a join of that record may still be carried out.
 func (s *State) isReportedByMembers(g group) bool {
 	isReported := false
 	for _, m := range g.members {
 		n := s.nodes[m.id]
-		if !n.isAlive() || n.membership.phase == PhaseNone {
+		if !n.isAlive() {
 			continue
 		}
-		if n.membership.epoch > g.epoch {
+		if n.membership.phase == PhaseNone || n.membership.epoch > g.epoch {
 			return false
 		}
 		isReported = isReported || n.membership.isIn(g.name, g.epoch)
