resident: Play names that change without end

So metrics and times of routes that are gone go with the configuration now, and not with the next second or minute.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -156,6 +156,7 @@
 	d.config.Store(&config)
 	d.recorder.SetConfigured("route", config.RouteNames())
 	d.recorder.SetConfigured("service", slices.Collect(maps.Keys(config.Services())))
+	d.recorder.UnregisterGone(time.Now())
 	d.recorder.SetGauge(metrics.ConfigRevision, int64(config.Revision()))
 	d.log.Info("config", "applied", "revision", config.Revision(), "source", effect.Source(), "storeAge", effect.StoreAge())
 	// The reducer's goroutine must not block on its own queue. The reducer ignores an older configuration that arrives later.
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -64,8 +64,11 @@
 // forgetAnswers removes the rates that fell to 0, and the times of routes that are no longer configured.
 func (s *State) forgetAnswers(now time.Time) {
 	maps.DeleteFunc(s.answerRates, func(_ string, r *rate) bool { return r.perSecond(now) == 0 })
-	names := s.config.RouteNames()
-	maps.DeleteFunc(s.answerSeconds, func(route string, _ float64) bool { return !slices.Contains(names, route) })
+	isConfigured := map[string]bool{}
+	for _, name := range s.config.RouteNames() {
+		isConfigured[name] = true
+	}
+	maps.DeleteFunc(s.answerSeconds, func(route string, _ float64) bool { return !isConfigured[route] })
 }
 
 // The limits of waiting in this daemon's queue and of Retry-After times.
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -105,6 +105,7 @@
 	case Configured:
 		s.config, s.isConfigured = e.config, true
 		s.selectColdShards()
+		s.forgetAnswers(now)
 	case Arrived:
 		s.handleArrived(now, up, e.request)
 	case Started:
