--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -156,6 +156,8 @@
 	d.config.Store(&config)
 	d.recorder.SetConfigured("route", config.RouteNames())
 	d.recorder.SetConfigured("service", slices.Collect(maps.Keys(config.Services())))
+	d.recorder.SetConfigured("organisation", config.OrganisationNames())
+	d.recorder.SetConfigured("model", config.ModelNames())
 	d.recorder.UnregisterGone(time.Now())
 	d.recorder.SetGauge(metrics.ConfigRevision, int64(config.Revision()))
 	d.log.Info("config", "applied", "revision", config.Revision(), "source", effect.Source(), "storeAge", effect.StoreAge())
--- a/internal/gateway/note.go
+++ b/internal/gateway/note.go
@@ -11,6 +11,7 @@
 	"github.com/azurepond/azurepond/internal/metrics"
 	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/gateway"
+	"github.com/azurepond/azurepond/pkg/quantity"
 )
 
 // recordDecision logs and counts a decision on a request.
@@ -48,6 +49,9 @@
 	for service, left := range s.RetriesLeft() {
 		d.recorder.SetGauge(metrics.RetriesLeft, int64(left), service)
 	}
+	for demander, seconds := range s.Demand() {
+		d.recorder.DemandArrived(demander.Organisation(), demander.Model(), quantity.Seconds(seconds))
+	}
 	d.recorder.SetGauge(metrics.Upstreams, int64(s.Leaving()), "leaving")
 	d.recorder.SetGauge(metrics.Upstreams, int64(s.Throttling()), "throttling")
 	d.recorder.SetGauge(metrics.Upstreams, int64(s.Limited()), "limited")
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -121,7 +121,7 @@
 		Calls, FailedCalls, CallsInFlight, FirstTokenTime, AnswerTime, Retries, Downtime, StrandedTime,
 		WantedReplicas, AvailableReplicas, ConfigRevision, StoreRequests, Members,
 		Requests, RequestTime, FirstSendTime, Orders, Probes, UpstreamConnections,
-		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, RetrySharers, DroppedLogLines, Upstreams, Lag, Leading,
+		FirstEventTime, LongestEventGap, ActiveRequests, RetriesLeft, DemandTime, RetrySharers, DroppedLogLines, Upstreams, Lag, Leading,
 		StoreRestores, StoreEra, OutdatedStoreAnswers, SilentStoreWatches, MarkedParts, LostPaths, RelayedRequests,
 		EvacuatedCentres,
 		AcceptFailures, AbandonedCalls,
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // The metrics of internal/gateway.
@@ -58,6 +60,11 @@
 		[]string{"service"},
 		"requests", "How often this daemon may still send requests to a service again.",
 	}
+	DemandTime = Metric{
+		"azurepond_demand_milliseconds_total",
+		[]string{"organisation", "model"},
+		"milliseconds", "Work that requests for a model may take before their deadlines, as the time of one replica, by which replicas are formed.",
+	}
 	RetrySharers = Metric{
 		"azurepond_retry_sharers",
 		nil,
@@ -180,6 +187,11 @@
 	r.increment(r.name(Requests, route, decision, reason))
 }
 
+// DemandArrived counts the work that requests of an organisation for a model may take, as the time of one replica.
+func (r *Recorder) DemandArrived(organisation, model string, work time.Duration) {
+	metrics.GetOrRegisterCounter(r.name(DemandTime, organisation, model), r.registry).Inc(work.Milliseconds())
+}
+
 // RequestSent records the time from a request's arrival to its first send.
 func (r *Recorder) RequestSent(route string, after time.Duration) {
 	r.recordTime(r.name(FirstSendTime, route), after)
--- a/internal/metrics/labels_test.go
+++ b/internal/metrics/labels_test.go
@@ -130,6 +130,16 @@
 			r.UnregisterGone(now.Add(2 * time.Minute))
 			So(countMetrics(registry), ShouldEqual, 3) // of calls of one to m, and of answers of m
 		})
+		Convey("demand is counted by organisation and model, and ends with either", func() {
+			r.DemandArrived("one", "m", 20*time.Millisecond)
+			r.DemandArrived("one", "m", 30*time.Millisecond)
+			name := metrics.DemandTime.RegistryName("one", "m")
+			So(registry.Get(name).(gometrics.Counter).Count(), ShouldEqual, 50)
+			r.SetConfigured("organisation", nil)
+			r.UnregisterGone(now)
+			r.UnregisterGone(now.Add(time.Minute))
+			So(registry.Get(name), ShouldBeNil)
+		})
 		Convey("targets that callers make up have no metrics of their own", func() {
 			r.SetConfigured("target", []string{"m"})
 			for life := range lives {
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -131,12 +131,21 @@
 	left := c.deadline.Sub(now)
 	readTime := min(engine.Read(model, c.promptTokens), left)
 	answerTime := min(quantity.Duration(float64(c.outputTokens), engine.StepTime(model, running)), left-readTime)
-	s.demand[c.model] += readTime.Seconds() + answerTime.Seconds()/float64(running)
+	s.demand[Demander{c.organisation, c.model}] += readTime.Seconds() + answerTime.Seconds()/float64(running)
 }
 
-// TakeDemand returns the work that arrived for each model, in replica-seconds, and resets it.
-func (s *State) TakeDemand() map[string]float64 {
+// Demander is an organisation that asks for a model.
+type Demander struct{ organisation, model string }
+
+// Organisation returns the name of the organisation, empty for callers without a key.
+func (d Demander) Organisation() string { return d.organisation }
+
+// Model returns the name of the model.
+func (d Demander) Model() string { return d.model }
+
+// TakeDemand returns the work that arrived for each model by organisation, in replica-seconds, and resets it.
+func (s *State) TakeDemand() map[Demander]float64 {
 	demand := s.demand
-	s.demand = map[string]float64{}
+	s.demand = map[Demander]float64{}
 	return demand
 }
--- a/pkg/dispatch/admission_test.go
+++ b/pkg/dispatch/admission_test.go
@@ -13,7 +13,7 @@
 		demandOf := func(prompt, output int) time.Duration {
 			cl := newCluster(1, 4, false)
 			cl.arriveWithTokens(0, prompt, output)
-			return time.Duration(cl.daemons[0].TakeDemand()["m"] * float64(time.Second))
+			return time.Duration(cl.daemons[0].TakeDemand()[Demander{"one", "m"}] * float64(time.Second))
 		}
 		usual := demandOf(500, 100)
 		So(usual, ShouldBeGreaterThan, 0)
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -28,7 +28,7 @@
 	stopping              bool
 	shutdown              Shutdown
 	lastCleanup           time.Time
-	demand                map[string]float64      // work per model since the last TakeDemand, in replica-seconds
+	demand                map[Demander]float64    // work since the last TakeDemand, in replica-seconds
 	answerRates           map[string]*rate        // first events per second, by queue key
 	crashes               map[uint64]*crashRecord // by content hash, for requests whose crashes this daemon counts
 	ownCrashes            map[uint64]time.Time    // the last one that this daemon reported, by content hash
@@ -77,7 +77,7 @@
 		upstreams:             map[string]*upstream{},
 		budgets:               map[string]*budget{},
 		answerSeconds:         map[string]float64{},
-		demand:                map[string]float64{},
+		demand:                map[Demander]float64{},
 		answerRates:           map[string]*rate{},
 		crashes:               map[uint64]*crashRecord{},
 		ownCrashes:            map[uint64]time.Time{},
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/azurepond/azurepond/pkg/dispatch"
 	"github.com/azurepond/azurepond/pkg/peer"
 	"github.com/azurepond/azurepond/pkg/quantity"
 	"github.com/azurepond/azurepond/pkg/replica"
@@ -29,10 +30,14 @@
 // that the leader is alive. The leader sums the reports of all daemons, since the share of a single daemon varies by a third
 // from second to second.
 func (s *State) reportDemand(now time.Time) {
-	s.emitStats(now)
+	demand := s.dispatch.TakeDemand()
+	s.emitStats(now, demand)
 	elapsed := now.Sub(s.demandReportedAt)
 	s.demandReportedAt = now
-	work := s.dispatch.TakeDemand()
+	work := map[string]float64{}
+	for demander, seconds := range demand {
+		work[demander.Model()] += seconds
+	}
 	if len(work) > 0 {
 		s.reduceReplica(now, replica.NewCallsArrived())
 	}
@@ -60,12 +65,12 @@
 }
 
 // emitStats emits the counts of work in progress.
-func (s *State) emitStats(now time.Time) {
+func (s *State) emitStats(now time.Time, demand map[dispatch.Demander]float64) {
 	stats := Stats{
 		active: s.dispatch.Active(), queued: s.dispatch.Queued(),
 		awaitingSlot: s.dispatch.AwaitingSlot(), slotWaiters: s.dispatch.SlotWaiters(),
 		retriesLeft: map[string]float64{}, lag: s.lag.TakeLongest(), throttling: s.dispatch.Throttling(now), limited: s.dispatch.Limited(), cold: len(s.coldUntil),
-		lostPaths: s.relay.LostPaths(),
+		lostPaths: s.relay.LostPaths(), demand: demand,
 	}
 	for _, u := range s.listing.entries {
 		if u.instance.Leaving() {
--- a/pkg/gateway/effect.go
+++ b/pkg/gateway/effect.go
@@ -195,6 +195,7 @@
 	limited      int
 	cold         int
 	lostPaths    int
+	demand       map[dispatch.Demander]float64
 }
 
 // Active returns how many requests have not ended.
@@ -230,6 +231,9 @@
 // LostPaths returns to how many upstreams this daemon lost its path.
 func (s Stats) LostPaths() int { return s.lostPaths }
 
+// Demand returns the work that arrived since the last Stats by organisation and model, in replica-seconds.
+func (s Stats) Demand() map[dispatch.Demander]float64 { return s.demand }
+
 // Problem is an error to log; processing continues.
 type Problem struct{ message, reason string }
 
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -104,6 +104,26 @@
 	return names
 }
 
+// OrganisationNames returns the names of all organisations that have a key, once for each key.
+func (c Config) OrganisationNames() []string {
+	names := make([]string, 0, len(c.organisations))
+	for _, o := range c.organisations {
+		names = append(names, o.name)
+	}
+	return names
+}
+
+// ModelNames returns the names of the models of all services.
+func (c Config) ModelNames() []string {
+	var names []string
+	for _, service := range c.services {
+		for _, model := range service.engine.models {
+			names = append(names, model.name)
+		}
+	}
+	return names
+}
+
 // LongestTimeout returns the longest timeout of the routes to a service, 0 if none of them has one.
 func (c Config) LongestTimeout(service string) time.Duration {
 	longest := time.Duration(0)
