--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/azurepond/azurepond/pkg/quantity"
@@ -143,6 +144,11 @@
 // Model returns the name of the model.
 func (d Demander) Model() string { return d.model }
 
+// Compare orders organisations and their models by name.
+func (d Demander) Compare(other Demander) int {
+	return cmp.Or(cmp.Compare(d.organisation, other.organisation), cmp.Compare(d.model, other.model))
+}
+
 // TakeDemand returns the work that arrived for each model by organisation, in replica-seconds, and resets it.
 func (s *State) TakeDemand() map[Demander]float64 {
 	demand := s.demand
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -35,8 +35,8 @@
 	elapsed := now.Sub(s.demandReportedAt)
 	s.demandReportedAt = now
 	work := map[string]float64{}
-	for demander, seconds := range demand {
-		work[demander.Model()] += seconds
+	for _, demander := range slices.SortedFunc(maps.Keys(demand), dispatch.Demander.Compare) {
+		work[demander.Model()] += demand[demander]
 	}
 	if len(work) > 0 {
 		s.reduceReplica(now, replica.NewCallsArrived())
