soak: Count faults of the paths that a call took

With the logging of it could be traced:

d3 "upstream: no answer" id="c16-6" upstream="desk-0" relay="" failure="interrupted" err="read tcp 127.0.0.1:36954->127.0.0.1:45195: read: connection reset by peer"

The call went to the upstream directly, over a proxy that the test had cut. The proxies of a daemon's paths are in the list that the daemon reads from the store; one that reads the list from a peer connects to that peer's proxies. So the test cut the paths of d3 and took that for a fault of d0 alone.

A fault of another daemon's paths excuses a call now if the error that the call ended with names one of its proxies, and as before if it went through that daemon. Two more cases of TestFaultsOfRelays. Nothing in the product changes.

--- a/internal/soak/paths_test.go
+++ b/internal/soak/paths_test.go
@@ -60,6 +60,18 @@
 	return known.address()
 }
 
+// has reports whether the daemon has a path with this address.
+func (p *paths) has(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, proxy := range p.proxies {
+		if proxy.address() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // cut makes all paths refuse new connections; open ones are reset, or deliver on.
 func (p *paths) cut(resetOpen bool) {
 	p.mutex.Lock()
--- a/internal/soak/stopcheck_test.go
+++ b/internal/soak/stopcheck_test.go
@@ -21,7 +21,7 @@
 	lateStart       = 3 * time.Second        // after SIGTERM; see isAllowed
 )
 
-// relayFault is the verdict on a request that went through a daemon with an unplanned fault.
+// relayFault is the verdict on a request that went through another daemon, or over its paths, with an unplanned fault.
 const relayFault = "fault of a relay"
 
 // isWhole reports whether the answer is complete and right.
@@ -77,8 +77,8 @@
 	case s.isAllowed(r, *stopped):
 		return "work in the last sixth", false
 	}
-	for _, relay := range s.relaysOf(r) {
-		if s.isFaulty(r, relay) {
+	for _, other := range s.othersOnWay(r) {
+		if s.isFaulty(r, other) {
 			return relayFault, false
 		}
 	}
@@ -96,20 +96,31 @@
 	return false
 }
 
-var relayField = regexp.MustCompile(` relay="d([0-9]+)"`)
+var (
+	relayField  = regexp.MustCompile(` relay="d([0-9]+)"`)
+	remoteField = regexp.MustCompile(`->(127\.0\.0\.1:[0-9]+): `) // in the error of a connection
+)
 
-// relaysOf returns the daemons through which the daemon of a request sent it to an upstream, where that failed.
-func (s *stopsSoak) relaysOf(r record) (relays []int) {
+// othersOnWay returns the other daemons that a request failed at: those through which its daemon sent it, and those whose path to an upstream
+// it took. A daemon that reads the list from a peer connects to the addresses that this peer got from the store.
+func (s *stopsSoak) othersOnWay(r record) (others []int) {
 	for _, line := range s.logLines(s.daemons[r.daemon], r.id) {
 		if field := relayField.FindStringSubmatch(line); field != nil {
 			relay, err := strconv.Atoi(field[1])
 			if err != nil {
 				s.t.Error(err)
 			}
-			relays = append(relays, relay)
+			others = append(others, relay)
+		}
+		if field := remoteField.FindStringSubmatch(line); field != nil {
+			for _, p := range s.daemons {
+				if p.paths != nil && p.paths.has(field[1]) {
+					others = append(others, p.index)
+				}
+			}
 		}
 	}
-	return relays
+	return others
 }
 
 // logLines returns what a daemon logged about a request.
@@ -208,27 +219,35 @@
 	p := &process{index: 0, settingsFile: filepath.Join(t.TempDir(), "settings.yaml")}
 	log := `I1207 23:09:30.7 16321 logwriter.go:101] "upstream: no answer" id="c1-4" upstream="desk-0" relay="d20" failure="relay lost"` + "\n" +
 		`I1207 23:09:30.8 16321 logwriter.go:101] "upstream: no answer" id="c1-40" upstream="desk-0" relay="d21" failure="relay lost"` + "\n"
-	if err := os.WriteFile(p.logFile(), []byte(log), 0o600); err != nil {
+	q := &process{index: 2, paths: &paths{proxies: map[string]*proxy{}}}
+	address := q.paths.proxyTo("127.0.0.1:1")
+	direct := `I1208 00:23:58.7 25260 logwriter.go:101] "upstream: no answer" id="c1-5" upstream="desk-0" relay="" failure="interrupted" ` +
+		`err="read tcp 127.0.0.1:36954->` + address + `: read: connection reset by peer"` + "\n"
+	if err := os.WriteFile(p.logFile(), []byte(log+direct), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	r := record{id: "c1-4", sent: begin, ended: begin.Add(time.Second), isWritten: true, limit: time.Minute}
 	for _, c := range []struct {
 		name    string
+		id      string
 		faults  []fault
 		verdict string
 	}{
-		{"of the relay", []fault{{20, begin, begin.Add(time.Second)}}, relayFault},
-		{"of the relay, later", []fault{{20, begin.Add(2 * time.Second), begin.Add(3 * time.Second)}}, "lost"},
-		{"of another daemon", []fault{{21, begin, begin.Add(time.Second)}}, "lost"},
-		{"planned stop of the relay", nil, "lost"},
+		{"of the relay", "c1-4", []fault{{20, begin, begin.Add(time.Second)}}, relayFault},
+		{"of the relay, later", "c1-4", []fault{{20, begin.Add(2 * time.Second), begin.Add(3 * time.Second)}}, "lost"},
+		{"of another daemon", "c1-4", []fault{{21, begin, begin.Add(time.Second)}}, "lost"},
+		{"planned stop of the relay", "c1-4", nil, "lost"},
+		{"of the daemon whose path was taken", "c1-5", []fault{{2, begin, begin.Add(time.Second)}}, relayFault},
+		{"of a daemon whose path was not taken", "c1-5", []fault{{20, begin, begin.Add(time.Second)}}, "lost"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &stopsSoak{
 				soak: &soak{
-					t: t, daemons: []*process{p}, fleet: &standin.Fleet{Store: &standin.Store{}}, setup: setup{grace: 4 * time.Second},
+					t: t, daemons: []*process{p, q}, fleet: &standin.Fleet{Store: &standin.Store{}}, setup: setup{grace: 4 * time.Second},
 				},
 				stops: []stop{{0, begin}, {20, begin}}, faults: c.faults,
 			}
+			r.id = c.id
 			if verdict, _ := s.verdict(r); verdict != c.verdict {
 				t.Errorf("verdict %q, want %q", verdict, c.verdict)
 			}
